--- /dev/null
+++ b/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission decides how many queries a host has under way at once.
+package admission
--- /dev/null
+++ b/internal/command/doc.go
@@ -0,0 +1,2 @@
+// Package command is the command line of fescuerill.
+package command
--- /dev/null
+++ b/internal/daemon/chooser.go
@@ -0,0 +1,134 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"fescuerill/target"
+)
+
+// Constants of the choice of a target.
+const (
+	// latencyWeight is the weight of a new sample in the recent latency.
+	latencyWeight = 0.2
+	// firstLatency stands for the latency of a target that was never asked.
+	firstLatency = 5 * time.Millisecond
+	// coldFactor is how much worse than a warm target one is that is not.
+	coldFactor = 8.0
+	// farFactor is the same for one in another data centre.
+	farFactor = 1.2
+	// trickle is the share of choices that go to a target that is not warm
+	// although a warm one could be asked, so that it warms up.
+	trickle = 0.05
+)
+
+// standing is what an entry knows of a target.
+type standing struct {
+	state   target.State
+	known   bool
+	under   int
+	latency time.Duration
+}
+
+// standings is what an entry knows of all targets. Its methods may be called
+// from several goroutines.
+type standings struct {
+	mu      sync.Mutex
+	targets map[string]*standing
+}
+
+func (s *standings) get(path string) *standing {
+	if s.targets == nil {
+		s.targets = map[string]*standing{}
+	}
+	t := s.targets[path]
+	if t == nil {
+		t = &standing{latency: firstLatency}
+		s.targets[path] = t
+	}
+	return t
+}
+
+// asked counts a part that is under way.
+func (s *standings) asked(path string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.get(path).under++
+}
+
+// answered counts a part that has ended; took is 0 when it was not run.
+func (s *standings) answered(path string, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.get(path)
+	t.under = max(0, t.under-1)
+	if took > 0 {
+		t.latency += time.Duration(latencyWeight * float64(took-t.latency))
+	}
+}
+
+// hear takes the state of a target from its owner.
+func (s *standings) hear(path string, state target.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.get(path)
+	t.state, t.known = state, true
+}
+
+// chooser picks targets for one query. It implements query.Chooser.
+type chooser struct {
+	standings  *standings
+	usable     func(path string) bool
+	dataCentre func(path string) string
+	own        string
+	random     *rand.Rand
+}
+
+// First implements query.Chooser.
+func (c *chooser) First(holders []string, skip func(string) bool) string {
+	c.standings.mu.Lock()
+	defer c.standings.mu.Unlock()
+	explore := c.random.Float64() < trickle
+	best, bestScore := "", 0.0
+	for _, h := range holders {
+		if skip(h) || !c.usable(h) {
+			continue
+		}
+		t := c.standings.get(h)
+		if t.known && (t.state == target.Lost || t.state == target.Leaving) {
+			continue
+		}
+		score := c.score(h, t, explore)
+		if best == "" || score < bestScore {
+			best, bestScore = h, score
+		}
+	}
+	return best
+}
+
+// score returns how long a part would take, roughly; lower is better.
+func (c *chooser) score(path string, t *standing, explore bool) float64 {
+	score := float64(t.under+1) * float64(t.latency) * (1 + c.random.Float64()/16)
+	if t.known && t.state != target.Warm {
+		if explore {
+			return 0
+		}
+		score *= coldFactor
+	}
+	if c.dataCentre(path) != c.own {
+		score *= farFactor
+	}
+	return score
+}
+
+// Hedge implements query.Chooser.
+func (c *chooser) Hedge(holders []string, skip func(string) bool) string {
+	return c.First(holders, func(path string) bool {
+		if skip(path) {
+			return true
+		}
+		t := c.standings.get(path)
+		return !t.known || t.state != target.Warm
+	})
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,286 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fescuerill/internal/link"
+	"fescuerill/internal/schema/peer"
+	"fescuerill/internal/schema/platform"
+	"fescuerill/internal/tally"
+	"fescuerill/settings"
+	"fescuerill/store"
+
+	"github.com/pkg/errors"
+)
+
+// Options are what is not in a daemon's settings.
+type Options struct {
+	// Log takes the daemon's events. A nil Log drops them.
+	Log *slog.Logger
+	// Plain switches the policies at the targets' side off: no cold start, no
+	// early refusal, no retries, no hedges. It is the baseline of the
+	// measurements.
+	Plain bool
+	// Store is the platform's service; nil takes the one at the address in the
+	// settings.
+	Store store.Service
+}
+
+// Daemon is one host of the system. Start makes one.
+type Daemon struct {
+	node        *settings.Node
+	options     Options
+	log         *slog.Logger
+	incarnation string
+	began       time.Time
+	tally       *tally.Tally
+	traffic     link.Traffic
+
+	store     store.Service
+	client    *store.Client
+	fleet     *fleet
+	ownership *ownership
+	entry     *entry
+	actions   *actions
+	keeper    *settingsKeeper
+	division  atomic.Pointer[division]
+
+	// dividing is held while a division is put in force; mu guards the links.
+	dividing sync.Mutex
+	mu       sync.Mutex
+	links    map[string]*remote
+
+	http    *http.Server
+	peers   *link.Server
+	cancel  context.CancelFunc
+	duties  sync.WaitGroup
+	leaving atomic.Bool
+}
+
+// Start listens at the addresses of the settings and starts the duties of a
+// daemon.
+func Start(n *settings.Node, o Options) (*Daemon, error) {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	d := &Daemon{
+		node: n, options: o, log: o.Log.With("host", n.ID()), incarnation: rand.Text(),
+		began: time.Now(), tally: &tally.Tally{}, links: map[string]*remote{}, store: o.Store,
+	}
+	callers, err := listen(n.CallerAddress())
+	if err != nil {
+		return nil, errors.Wrap(err, "daemon: caller address")
+	}
+	peers, err := listen(n.PeerAddress())
+	if err != nil {
+		_ = callers.Close()
+		return nil, errors.Wrap(err, "daemon: peer address")
+	}
+	if d.store == nil {
+		d.client = store.NewClient(n.Store())
+		d.store = d.client
+	}
+	d.wire()
+	d.peers = link.Serve(peers, peerHandler{d}, &d.traffic)
+	d.serve(callers)
+	d.start()
+	d.log.Info("started", "incarnation", d.incarnation, "callers", n.CallerAddress(), "peers", n.PeerAddress())
+	return d, nil
+}
+
+func listen(address string) (net.Listener, error) {
+	var c net.ListenConfig
+	return c.Listen(context.Background(), "tcp", address)
+}
+
+// wire makes the parts and joins them.
+func (d *Daemon) wire() {
+	n := d.node
+	d.entry = newEntry(n.ID(), n.DataCentre(), n.Admitted(), d.tally, d.options.Plain, d.port)
+	d.ownership = newOwnership(n.ID(), n.LeaseTime(), d.tally, d.options.Plain)
+	d.actions = newActions(d)
+	d.fleet = &fleet{
+		store: d.store, time: n.LeaseTime(), adopt: d.adopt, view: d.entry.view.Load,
+		self: platform.Member{
+			ID: n.ID(), Incarnation: d.incarnation, CallerAddress: n.CallerAddress(),
+			PeerAddress: n.PeerAddress(), DataCentre: n.DataCentre(), State: stateLive,
+		},
+	}
+	d.ownership.proven = d.fleet.proven
+	d.ownership.release = d.release
+	d.keeper = newSettingsKeeper(d)
+}
+
+// start starts one goroutine for each duty.
+func (d *Daemon) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	for _, duty := range []func(context.Context){
+		d.fleet.hold, d.fleet.watch, d.fleet.survey, d.ownership.run, d.keeper.watch, d.discover,
+	} {
+		d.duties.Go(func() { duty(ctx) })
+	}
+}
+
+// adopt puts a record of members in force.
+func (d *Daemon) adopt(m platform.Members, asked time.Time) {
+	d.dividing.Lock()
+	defer d.dividing.Unlock()
+	division := divide(m, d.division.Load(), d.keeper.views())
+	d.division.Store(division)
+	d.connect(m)
+	d.ownership.adopt(asked, division)
+	d.tally.Gauge("epoch", m.Epoch)
+	d.log.Info("members changed", "epoch", m.Epoch, "hosts", len(m.Hosts), "joined", len(m.Joined), "left", len(m.Left))
+}
+
+// install puts settings in force.
+func (d *Daemon) install(v *settings.View) {
+	d.entry.view.Store(v)
+	d.ownership.apply(v)
+	d.tally.Gauge("settings-revision", v.Revision())
+	d.log.Info("settings in force", "revision", v.Revision(), "targets", v.Targets())
+	d.redivide()
+}
+
+// redivide divides the targets once the settings are known for which a record
+// of members was written.
+func (d *Daemon) redivide() {
+	d.dividing.Lock()
+	defer d.dividing.Unlock()
+	old := d.division.Load()
+	if old == nil || len(old.owners) > 0 {
+		return
+	}
+	division := divide(old.members, nil, d.keeper.views())
+	d.division.Store(division)
+	d.ownership.readopt(time.Now(), division)
+}
+
+// connect keeps a link to each host of the record.
+func (d *Daemon) connect(m platform.Members) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	wanted := map[string]bool{}
+	for _, h := range append(append([]platform.Member(nil), m.Hosts...), m.Left...) {
+		wanted[h.ID] = true
+		old := d.links[h.ID]
+		if h.ID == d.node.ID() || old != nil && old.address == h.PeerAddress {
+			continue
+		}
+		if old != nil {
+			go old.link.Close()
+		}
+		d.links[h.ID] = &remote{address: h.PeerAddress, link: link.New(h.PeerAddress, d.entry, &d.traffic)}
+	}
+	for id, r := range d.links {
+		if !wanted[id] {
+			delete(d.links, id)
+			go r.link.Close()
+		}
+	}
+}
+
+// remote is another daemon. It implements port.
+type remote struct {
+	address string
+	link    *link.Link
+}
+
+// Ask implements port.
+func (r *remote) Ask(a peer.Ask) { r.link.Ask(a) }
+
+// Cancel implements port.
+func (r *remote) Cancel(c peer.Cancel) { r.link.Cancel(c) }
+
+// port returns the way to the owner of a target.
+func (d *Daemon) port(path string) port {
+	division := d.division.Load()
+	if division == nil {
+		return nowhere{d.entry}
+	}
+	id := division.owners[path]
+	if id == d.node.ID() {
+		return local{d}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r := d.links[id]; r != nil {
+		return r
+	}
+	return nowhere{d.entry}
+}
+
+// nowhere answers for targets without an owner. It implements port.
+type nowhere struct {
+	entry *entry
+}
+
+// Ask implements port.
+func (n nowhere) Ask(a peer.Ask) { n.entry.Lost(a, false) }
+
+// Cancel implements port.
+func (n nowhere) Cancel(peer.Cancel) {}
+
+// local is the owner role of the same daemon, which is asked without a hop. It
+// implements port and teller.
+type local struct {
+	daemon *Daemon
+}
+
+// Ask implements port.
+func (l local) Ask(a peer.Ask) { l.daemon.ownership.ask(l, &a) }
+
+// Cancel implements port.
+func (l local) Cancel(c peer.Cancel) { l.daemon.ownership.cancel(l, c) }
+
+// Tell implements teller.
+func (l local) Tell(t peer.Told) bool {
+	l.daemon.entry.route(t)
+	return true
+}
+
+// State implements teller.
+func (l local) State(s peer.TargetState) { l.daemon.entry.learn(s) }
+
+// Refresh implements teller.
+func (l local) Refresh(s peer.TargetState) { l.daemon.entry.learn(s) }
+
+// Tally returns the daemon's counters.
+func (d *Daemon) Tally() *tally.Tally { return d.tally }
+
+// ID returns the name of the host.
+func (d *Daemon) ID() string { return d.node.ID() }
+
+// Incarnation returns the name of this run of the daemon.
+func (d *Daemon) Incarnation() string { return d.incarnation }
+
+// Traffic returns the bytes sent to and received from other daemons.
+func (d *Daemon) Traffic() *link.Traffic { return &d.traffic }
+
+// CallerAddress returns the IP address and port for callers.
+func (d *Daemon) CallerAddress() string { return d.node.CallerAddress() }
+
+// Knows returns the number of targets whose holdings are known and which may be
+// given work by their owner.
+func (d *Daemon) Knows() int {
+	v, n := d.entry.view.Load(), 0
+	if v == nil {
+		return 0
+	}
+	for _, s := range v.Services() {
+		for _, b := range s.Targets() {
+			if d.entry.catalog.Version(b.Path()) != 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/daemon/entry.go
@@ -0,0 +1,472 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fescuerill/admission"
+	"fescuerill/budget"
+	"fescuerill/internal/schema/peer"
+	"fescuerill/internal/tally"
+	"fescuerill/query"
+	"fescuerill/ring"
+	"fescuerill/settings"
+	"fescuerill/snapshot"
+	"fescuerill/target"
+)
+
+// Constants of the entry role.
+const (
+	// restarts bounds how often a search starts again under another snapshot.
+	restarts = 2
+	// cutPeriod is how often overload lowers the queries admitted at most.
+	cutPeriod = 50 * time.Millisecond
+	// overloadShare is the share of the shards of a query that, when lost to
+	// overload, counts as a sign of it.
+	overloadShare = 0.02
+)
+
+// entry is the entry role of a daemon.
+type entry struct {
+	id     string
+	own    string
+	tally  *tally.Tally
+	plain  bool
+	ports  func(target string) port
+	view   atomic.Pointer[settings.View]
+	number atomic.Int64
+
+	catalog   snapshot.Catalog
+	standings standings
+	latencies latencies
+	plans     planCache
+
+	mu      sync.Mutex
+	limiter admission.Limiter
+	budgets map[string]*budget.Budget
+	waiting map[int]*ring.Ring[peer.Told]
+}
+
+// port is a way to the owner of a target.
+type port interface {
+	Ask(a peer.Ask)
+	Cancel(c peer.Cancel)
+}
+
+func newEntry(id, dataCentre string, admitted int, t *tally.Tally, plain bool, ports func(string) port) *entry {
+	e := &entry{id: id, own: dataCentre, tally: t, plain: plain, ports: ports, budgets: map[string]*budget.Budget{}, waiting: map[int]*ring.Ring[peer.Told]{}}
+	e.limiter.Reset(admitted, cutPeriod)
+	return e
+}
+
+// Tell implements link.Receiver and takes answers also from the owner role of
+// the same daemon.
+func (e *entry) Tell(t peer.Tells) {
+	for _, s := range t.Targets {
+		e.learn(s)
+	}
+	for _, p := range t.Parts {
+		e.route(p)
+	}
+}
+
+func (e *entry) route(p peer.Told) {
+	e.mu.Lock()
+	r := e.waiting[p.Query]
+	e.mu.Unlock()
+	if r == nil || !r.Push(p) {
+		e.tally.Add("answers-late", 1)
+	}
+}
+
+// Lost implements link.Receiver.
+func (e *entry) Lost(a peer.Ask, sent bool) {
+	reason, untouched := query.ReasonOwnerLost, !sent
+	outcome := "unknown"
+	if untouched {
+		outcome = "not-run"
+	}
+	e.tally.Add("part-refused-"+reason, len(a.Parts))
+	for _, p := range a.Parts {
+		e.route(peer.Told{Query: a.Query, ID: p.ID, Target: p.Target, Outcome: outcome, Reason: &reason, Untouched: &untouched})
+	}
+}
+
+// Condemned implements link.Receiver.
+func (e *entry) Condemned() { e.tally.Add("peer-connections-condemned", 1) }
+
+func (e *entry) learn(s peer.TargetState) {
+	e.standings.hear(s.Target, target.ParseState(s.State))
+	if s.Version == 0 {
+		return
+	}
+	holdings := make([]snapshot.Holding, len(s.Holdings))
+	for i, h := range s.Holdings {
+		holdings[i] = snapshot.NewHolding(h.Snapshot, h.Shards, h.Held)
+	}
+	e.catalog.Update(s.Target, s.Version, holdings)
+}
+
+// Spend implements query.Spender.
+func (e *entry) Spend(service string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := e.budgets[service]
+	return b != nil && b.Spend()
+}
+
+// earn counts first requests to services.
+func (e *entry) earn(v *settings.View, shards []snapshot.Shard) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range shards {
+		service := shards[i].Service()
+		b := e.budgets[service]
+		if b == nil {
+			b = &budget.Budget{}
+			e.budgets[service] = b
+		}
+		if s := v.Service(service); s != nil {
+			b.SetFraction(s.Policy().ExtraLoad())
+		}
+		b.Earn(1)
+	}
+}
+
+// enter admits a query.
+func (e *entry) enter() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.limiter.Enter()
+}
+
+func (e *entry) leave(overloaded bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limiter.Leave(time.Now(), overloaded && !e.plain)
+	e.tally.Gauge("admission-limit", e.limiter.Limit())
+}
+
+// search is one request of a caller.
+type search struct {
+	scope, terms string
+	limit        int
+	deadline     time.Time
+	arrived      time.Time
+}
+
+// result is what became of a search: an answer or a refusal.
+type result struct {
+	answer  query.Answer
+	refused string
+	notRun  bool
+	wait    time.Duration
+}
+
+// answer runs a search.
+func (e *entry) answer(ctx context.Context, s search) result {
+	v := e.view.Load()
+	if v == nil {
+		return e.refuse(s, nil, "no-settings")
+	}
+	services := v.Scope(nil, s.scope)
+	if len(services) == 0 {
+		return result{refused: "unknown-scope"}
+	}
+	p := services[0].Policy()
+	s.deadline = earlier(s.deadline, s.arrived.Add(p.Deadline()))
+	if !e.enter() {
+		return e.refuse(s, &p, "overload")
+	}
+	r := e.run(ctx, v, s, p)
+	overloaded := e.overloaded(r.answer.Coverage)
+	e.leave(overloaded)
+	return e.judge(r, p)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// refuse returns a refusal of a search of which nothing was asked. The wait
+// asked for is spread.
+func (e *entry) refuse(_ search, p *settings.Policy, reason string) result {
+	e.tally.Add("refused-"+reason, 1)
+	mean := settings.DefaultRetryAfter
+	if p != nil {
+		mean = p.RetryAfter()
+	}
+	return result{refused: reason, notRun: true, wait: mean/2 + rand.N(mean)}
+}
+
+// judge weighs the coverage of an answer against the floor.
+func (e *entry) judge(r result, p settings.Policy) result {
+	if r.refused != "" {
+		return r
+	}
+	c := r.answer.Coverage
+	for _, m := range c.Missing {
+		e.tally.Add("missing-"+m.Reason, 1)
+	}
+	e.tally.Add("shards-covered", len(c.Covered))
+	if c.Share() < p.Floor() && p.RefuseAtDeadline() {
+		e.tally.Add("refused-below-floor", 1)
+		return result{refused: "below-floor"}
+	}
+	return r
+}
+
+func (e *entry) overloaded(c query.Coverage) bool {
+	lost := 0
+	for _, m := range c.Missing {
+		switch m.Reason {
+		case query.ReasonQueueFull, query.ReasonTooLate, query.ReasonShed, query.ReasonDeadline:
+			lost++
+		}
+	}
+	return float64(lost) > overloadShare*float64(len(c.Covered)+len(c.Missing))
+}
+
+// run asks under the best snapshot, and under a newer one when the targets
+// have dropped that.
+func (e *entry) run(ctx context.Context, v *settings.View, s search, p settings.Policy) result {
+	after := 0
+	var best query.Answer
+	for try := 0; try <= restarts; try++ {
+		m := e.plans.get(e, v, s.scope, after)
+		if m == nil {
+			break
+		}
+		q, a := e.pass(ctx, v, s, m)
+		if try == 0 || a.Coverage.Share() > best.Coverage.Share() {
+			best = a
+		}
+		if q.Gone() == 0 || a.Coverage.Share() == 1 || !time.Now().Before(s.deadline) || ctx.Err() != nil {
+			break
+		}
+		after = m.Snapshot()
+		e.tally.Add("restarts-newer-snapshot", 1)
+	}
+	if best.Coverage.Snapshot == 0 {
+		return e.refuse(s, &p, "no-snapshot")
+	}
+	return result{answer: best}
+}
+
+// pass runs a query under one snapshot until it is finished or the deadline.
+func (e *entry) pass(ctx context.Context, v *settings.View, s search, m *snapshot.Map) (*query.Query, query.Answer) {
+	number := int(e.number.Add(1))
+	inbox := &ring.Ring[peer.Told]{}
+	e.mu.Lock()
+	e.waiting[number] = inbox
+	e.mu.Unlock()
+	e.earn(v, m.Shards())
+	run := &pass{entry: e, number: number, search: s, asked: map[int]time.Time{}}
+	c := &chooser{
+		standings: &e.standings, own: e.own, random: rand.New(rand.NewPCG(rand.Uint64(), uint64(number))),
+		usable:     func(path string) bool { b := v.Target(path); return b != nil && v.Takes(b) },
+		dataCentre: func(path string) string { return v.Target(path).DataCentre() },
+	}
+	run.query.Reset(m, query.Options{Deadline: s.deadline, HedgeAfter: e.hedgeAfter(v, s.scope), Limit: s.limit, Plain: e.plain}, c, e, c.random)
+	run.follow(ctx, inbox)
+	e.mu.Lock()
+	delete(e.waiting, number)
+	e.mu.Unlock()
+	run.count()
+	return &run.query, run.query.Answer()
+}
+
+// hedgeAfter returns the time after which parts of a scope are hedged.
+func (e *entry) hedgeAfter(v *settings.View, scope string) time.Duration {
+	var most time.Duration
+	for _, s := range v.Scope(nil, scope) {
+		most = max(most, e.latencies.quantile(group(s.Path()), s.Policy().HedgeQuantile()))
+	}
+	return most
+}
+
+func group(path string) string {
+	name, _, _ := strings.Cut(path, "/")
+	return name
+}
+
+// pass is one query under way.
+type pass struct {
+	entry  *entry
+	number int
+	search search
+	query  query.Query
+	asked  map[int]time.Time
+}
+
+// follow drives the query until it is finished or its deadline has come.
+func (p *pass) follow(ctx context.Context, inbox *ring.Ring[peer.Told]) {
+	now := time.Now()
+	p.send(now, p.query.Begin(now))
+	timer := time.NewTimer(p.query.Next().Sub(now))
+	defer timer.Stop()
+	var told []peer.Told
+	for !p.query.Finished() && time.Now().Before(p.search.deadline) && ctx.Err() == nil {
+		timer.Reset(time.Until(p.query.Next()))
+		select {
+		case <-inbox.Ready():
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		told = inbox.Drain(told[:0])
+		now = time.Now()
+		for _, t := range told {
+			p.take(now, t)
+		}
+		if !now.Before(p.query.Next()) {
+			p.send(now, p.query.Tick(now))
+		}
+		p.cancel(p.query.Losers(nil, false))
+	}
+	p.cancel(p.query.Losers(nil, true))
+}
+
+func (p *pass) take(now time.Time, t peer.Told) {
+	began, ok := p.asked[t.ID]
+	delete(p.asked, t.ID)
+	outcome := parseOutcome(t.Outcome)
+	if ok {
+		took := time.Duration(0)
+		if outcome == query.Done {
+			took = now.Sub(began)
+			p.entry.latencies.add(now, group(t.Target), took)
+		}
+		p.entry.standings.answered(t.Target, took)
+	}
+	in := query.Told{ID: t.ID, Target: t.Target, Snapshot: t.Snapshot, Outcome: outcome, Hits: make([]query.Hit, len(t.Hits))}
+	if t.Reason != nil {
+		in.Reason = *t.Reason
+	}
+	in.Untouched = t.Untouched != nil && *t.Untouched
+	for i, h := range t.Hits {
+		in.Hits[i] = query.Hit{Document: h.Document, Score: h.Score, Text: h.Text}
+	}
+	if outcome != query.Done {
+		p.entry.tally.Add("retry-cause-"+in.Reason, 1)
+	}
+	p.send(now, p.query.Told(now, in))
+}
+
+func parseOutcome(name string) query.Outcome {
+	switch name {
+	case "done":
+		return query.Done
+	case "not-run":
+		return query.NotRun
+	default:
+		return query.Unknown
+	}
+}
+
+// send groups asks by owner and sends them.
+func (p *pass) send(now time.Time, asks []query.Ask) {
+	grouped := map[port]*peer.Ask{}
+	for _, a := range asks {
+		to := p.entry.ports(a.Target)
+		m := grouped[to]
+		if m == nil {
+			m = &peer.Ask{
+				Query: p.number, Snapshot: p.query.Snapshot(), Terms: p.search.terms, Limit: p.search.limit,
+				BudgetUs: int(p.search.deadline.Sub(now).Microseconds()),
+			}
+			grouped[to] = m
+		}
+		p.asked[a.ID] = now
+		p.entry.standings.asked(a.Target)
+		m.Parts = append(m.Parts, peer.Part{ID: a.ID, Target: a.Target, Shard: a.Shard.Number(), Seen: p.entry.catalog.Version(a.Target)})
+	}
+	for to, m := range grouped {
+		to.Ask(*m)
+	}
+}
+
+// cancel tells owners what is no longer wanted.
+func (p *pass) cancel(losers []query.Ask) {
+	grouped := map[port]*peer.Cancel{}
+	for _, a := range losers {
+		if _, ok := p.asked[a.ID]; !ok {
+			continue
+		}
+		delete(p.asked, a.ID)
+		p.entry.standings.answered(a.Target, 0)
+		to := p.entry.ports(a.Target)
+		if grouped[to] == nil {
+			grouped[to] = &peer.Cancel{Query: p.number}
+		}
+		grouped[to].Ids = append(grouped[to].Ids, a.ID)
+	}
+	for to, c := range grouped {
+		to.Cancel(*c)
+	}
+}
+
+func (p *pass) count() {
+	c, t := p.query.Counts(), p.entry.tally
+	t.Add("parts-first", c.First)
+	t.Add("parts-retried", c.Retries)
+	t.Add("parts-hedged", c.Hedges)
+	t.Add("parts-extra", c.Extra)
+	t.Add("hedges-won", c.HedgesWon)
+	t.Add("answers-late", c.Late)
+	t.Add("answers-crossed", c.Crossed)
+	t.Add("budget-refused", c.BudgetRefused)
+}
+
+// planCache keeps the shard map of each scope until what it was made from
+// changes. The zero value is empty.
+type planCache struct {
+	mu    sync.Mutex
+	plans map[string]plan
+}
+
+type plan struct {
+	generation uint64
+	view       *settings.View
+	shards     *snapshot.Map
+}
+
+// get returns the map of the best snapshot after the numbered one, or nil.
+func (c *planCache) get(e *entry, v *settings.View, scope string, after int) *snapshot.Map {
+	key := strconv.Itoa(after) + " " + scope
+	generation := e.catalog.Generation()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.plans[key]; ok && p.generation == generation && p.view == v {
+		return p.shards
+	}
+	m := e.catalog.Choose(members(v, scope), after, func(path string) bool {
+		b := v.Target(path)
+		return b != nil && v.Takes(b)
+	})
+	if c.plans == nil || len(c.plans) > 4096 {
+		c.plans = map[string]plan{}
+	}
+	c.plans[key] = plan{generation, v, m}
+	return m
+}
+
+func members(v *settings.View, scope string) []snapshot.Service {
+	scoped := v.Scope(nil, scope)
+	out := make([]snapshot.Service, len(scoped))
+	for i, s := range scoped {
+		out[i].Path = s.Path()
+		for _, b := range s.Targets() {
+			out[i].Targets = append(out[i].Targets, b.Path())
+		}
+	}
+	return slices.Clip(out)
+}
--- /dev/null
+++ b/internal/daemon/keeper.go
@@ -0,0 +1,630 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"fescuerill/internal/schema/exchange"
+	"fescuerill/internal/schema/peer"
+	"fescuerill/internal/tally"
+	"fescuerill/query"
+	"fescuerill/ring"
+	"fescuerill/settings"
+	"fescuerill/target"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// Times of a keeper.
+const (
+	// reportEvery is how often a target is asked for its report.
+	reportEvery = 500 * time.Millisecond
+	// lostEvery is the same for a target that is lost.
+	lostEvery = 200 * time.Millisecond
+	// stallFactor is the factor over the usual latency, and stallLeast the
+	// least time, after which an exchange without an answer is suspect.
+	stallFactor = 4
+	stallLeast  = 15 * time.Millisecond
+)
+
+// teller takes the answers to parts.
+type teller interface {
+	Tell(t peer.Told) bool
+	State(s peer.TargetState)
+	Refresh(s peer.TargetState)
+}
+
+// job is a part that waits for or is in an exchange.
+type job struct {
+	from      teller
+	ask       *peer.Ask
+	part      peer.Part
+	deadline  time.Time
+	cancelled bool
+	told      bool
+}
+
+// event is what a keeper's goroutine is told. One field is set.
+type event struct {
+	jobs     []*job
+	cancel   *cancelled
+	ended    *ended
+	heard    *heard
+	share    *target.Share
+	view     *settings.Target
+	state    chan<- targetStatus
+	wanted   chan<- peer.TargetState
+	handover *peer.Released
+}
+
+type cancelled struct {
+	from  teller
+	query int
+	ids   []int
+}
+
+// ended is the end of an exchange.
+type ended struct {
+	run   *running
+	reply exchange.Reply
+	err   error
+}
+
+// heard is a report, or that there was none.
+type heard struct {
+	report exchange.Report
+	err    error
+	probe  bool
+	opened time.Time
+}
+
+// running is an exchange under way.
+type running struct {
+	slot   uint64
+	id     string
+	jobs   []*job
+	began  time.Time
+	cancel context.CancelFunc
+	stop   bool
+}
+
+// targetStatus is what operators see of a target.
+type targetStatus struct {
+	path, state, incarnation string
+	taken, queued, completed int
+	share                    target.Share
+	settled                  bool
+}
+
+// keeper is the owner's side of one target. Its goroutine is the only one that
+// touches its gate and queue.
+type keeper struct {
+	address string
+	target  *settings.Target
+	tally   *tally.Tally
+	inbox   ring.Ring[event]
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+	over    chan struct{}
+
+	gate     target.Gate
+	queue    target.Queue[*job]
+	link     *exchanger
+	running  map[uint64]*running
+	report   exchange.Report
+	version  int
+	sequence int
+	plain    bool
+	suspect  time.Time
+}
+
+func newKeeper(b *settings.Target, t *tally.Tally, plain bool) *keeper {
+	ctx, cancel := context.WithCancel(context.Background())
+	k := &keeper{address: b.Address(), target: b, tally: t, cancel: cancel, link: newExchanger(b), running: map[uint64]*running{}, plain: plain, over: make(chan struct{})}
+	k.gate.Reset(limits(b.Policy(), plain))
+	k.queue.Reset(b.Policy().Queue())
+	k.done.Go(func() { k.run(ctx) })
+	k.done.Go(func() { k.poll(ctx) })
+	return k
+}
+
+// limits returns the limits of a policy. The plain keeper is the baseline of
+// the measurements: it takes every target for warm from the start.
+func limits(p settings.Policy, plain bool) target.Limits {
+	l := target.Limits{Slots: p.Slots(), Batch: p.Batch(), ColdSlots: p.ColdSlots(), ColdBatch: p.ColdBatch(), WarmStep: p.WarmStep()}
+	if plain {
+		l.ColdSlots, l.ColdBatch, l.WarmStep = l.Slots, l.Batch, 1
+	}
+	return l
+}
+
+// look returns the status of the target. A keeper that has ended is settled.
+func (k *keeper) look() targetStatus {
+	c := make(chan targetStatus, 1)
+	if !k.inbox.Push(event{state: c}) {
+		return targetStatus{path: k.target.Path()}
+	}
+	select {
+	case s := <-c:
+		return s
+	case <-k.over:
+		return targetStatus{settled: true}
+	}
+}
+
+// current returns what entries are told of the target.
+func (k *keeper) current() peer.TargetState {
+	c := make(chan peer.TargetState, 1)
+	if !k.inbox.Push(event{wanted: c}) {
+		return peer.TargetState{}
+	}
+	select {
+	case s := <-c:
+		return s
+	case <-k.over:
+		return peer.TargetState{}
+	}
+}
+
+func (k *keeper) close() {
+	k.cancel()
+	k.done.Wait()
+	k.link.close()
+}
+
+// poll is the duty that asks the target for its report.
+func (k *keeper) poll(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := reportEvery
+		if k.ask(ctx, false) != nil {
+			wait = lostEvery
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (k *keeper) ask(ctx context.Context, probe bool) error {
+	began := time.Now()
+	limited, cancel := context.WithTimeout(ctx, k.target.Policy().SilentAfter())
+	defer cancel()
+	r, err := k.link.report(limited)
+	if ctx.Err() == nil {
+		k.inbox.Push(event{heard: &heard{r, err, probe, began}})
+	}
+	return err
+}
+
+// run is the duty that decides what the target is given.
+func (k *keeper) run(ctx context.Context) {
+	defer close(k.over)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	var events []event
+	for {
+		timer.Reset(k.sleep(time.Now()))
+		select {
+		case <-k.inbox.Ready():
+		case <-timer.C:
+		case <-ctx.Done():
+			k.abandon()
+			return
+		}
+		events = k.inbox.Drain(events[:0])
+		now := time.Now()
+		for _, e := range events {
+			k.handle(ctx, now, e)
+		}
+		k.gate.Expire(now)
+		k.condemnStalled(ctx, now)
+		k.dispatch(ctx, now)
+		if t := k.gate.TakeTurn(); t != target.TurnNone {
+			k.tally.Add("target-cold-"+string(t), 1)
+		}
+	}
+}
+
+// sleep returns how long there is nothing to do unless something is heard.
+func (k *keeper) sleep(now time.Time) time.Duration {
+	next := now.Add(time.Second)
+	for _, at := range []time.Time{k.gate.Next(), k.queue.Next(), k.stallAt()} {
+		if !at.IsZero() && at.Before(next) {
+			next = at
+		}
+	}
+	return max(time.Millisecond, next.Sub(now))
+}
+
+func (k *keeper) handle(ctx context.Context, now time.Time, e event) {
+	switch {
+	case e.jobs != nil:
+		for _, j := range e.jobs {
+			k.offer(now, j)
+		}
+	case e.cancel != nil:
+		k.drop(ctx, *e.cancel)
+	case e.ended != nil:
+		k.end(now, *e.ended)
+	case e.heard != nil:
+		k.hear(now, *e.heard)
+	case e.share != nil:
+		k.gate.SetShare(*e.share)
+	case e.view != nil:
+		k.target = e.view
+		k.gate.SetLimits(limits(e.view.Policy(), k.plain))
+	case e.state != nil:
+		e.state <- k.status()
+	case e.wanted != nil:
+		e.wanted <- k.state()
+	case e.handover != nil:
+		k.gate.HandOver(e.handover.Incarnation, target.ParseState(e.handover.State), e.handover.Completed)
+	}
+}
+
+func (k *keeper) status() targetStatus {
+	return targetStatus{
+		path: k.target.Path(), state: k.gate.State().String(), incarnation: k.gate.Incarnation(),
+		taken: k.gate.Taken(), queued: k.queue.Len(), completed: k.gate.Completed(), share: k.gate.Share(),
+		settled: len(k.running) == 0 && k.gate.Taken() == 0,
+	}
+}
+
+// offer queues a part or refuses it.
+func (k *keeper) offer(now time.Time, j *job) {
+	if j.part.Seen != k.version && k.version != 0 {
+		j.from.Refresh(k.state())
+	} else {
+		j.from.State(k.state())
+	}
+	if reason := k.closed(); reason != "" {
+		k.notRun(j, reason)
+		return
+	}
+	err := k.queue.Offer(now, j.deadline, k.wait(), j)
+	switch {
+	case errors.Is(err, target.ErrFull):
+		k.notRun(j, query.ReasonQueueFull)
+	case err != nil:
+		k.notRun(j, query.ReasonTooLate)
+	}
+}
+
+// closed returns why the target takes nothing at all, "" when it does.
+func (k *keeper) closed() string {
+	switch {
+	case k.gate.State() == target.Leaving:
+		return query.ReasonLeaving
+	case k.gate.State() == target.Lost:
+		return query.ReasonTargetLost
+	case k.gate.Allowed() == 0:
+		return query.ReasonUnowned
+	default:
+		return ""
+	}
+}
+
+// wait estimates how long a part that is queued now waits for its answer.
+func (k *keeper) wait() time.Duration {
+	usual := k.gate.Usual()
+	if k.plain || usual == 0 {
+		return 0
+	}
+	each := max(1, k.gate.Batch(time.Time{}))
+	rounds := float64(k.queue.Len()+1) / float64(each*max(1, k.gate.Allowed()))
+	return time.Duration(float64(usual) * (0.5 + rounds))
+}
+
+// dispatch fills free slots from the queue.
+func (k *keeper) dispatch(ctx context.Context, now time.Time) {
+	for k.queue.Len() > 0 && k.gate.Free() > 0 {
+		jobs, late := k.queue.Take(nil, nil, now.Add(k.gate.Usual()/2), k.gate.Batch(now))
+		k.notRunAll(late, query.ReasonTooLate)
+		if len(jobs) == 0 {
+			continue
+		}
+		k.send(ctx, now, jobs)
+	}
+	if k.closed() != "" {
+		k.refuseQueued()
+	}
+}
+
+func (k *keeper) refuseQueued() {
+	reason := k.closed()
+	jobs, late := k.queue.Take(nil, nil, time.Time{}, k.queue.Len())
+	k.notRunAll(append(jobs, late...), reason)
+}
+
+func (k *keeper) send(ctx context.Context, now time.Time, jobs []*job) {
+	until := now
+	for _, j := range jobs {
+		if j.deadline.After(until) {
+			until = j.deadline
+		}
+	}
+	slot, ok := k.gate.Acquire(now, until)
+	if !ok {
+		k.notRunAll(jobs, query.ReasonCold)
+		return
+	}
+	k.sequence++
+	limited, cancel := context.WithDeadline(ctx, until.Add(target.Margin))
+	r := &running{slot: slot, id: strconv.Itoa(k.sequence), jobs: jobs, began: now, cancel: cancel}
+	k.running[slot] = r
+	q := k.request(r, now, until)
+	k.tally.Add("exchanges", 1)
+	k.tally.Add("exchange-parts", len(jobs))
+	k.done.Go(func() {
+		defer cancel()
+		reply, err := k.link.do(limited, q, until)
+		k.inbox.Push(event{ended: &ended{r, reply, err}})
+	})
+}
+
+// request makes the message of an exchange.
+func (k *keeper) request(r *running, now, until time.Time) exchange.Request {
+	q := exchange.Request{
+		ExchangeID: k.target.Path() + "/" + r.id,
+		BudgetUs:   int(until.Sub(now).Microseconds()), Parts: make([]exchange.Part, len(r.jobs)),
+	}
+	for i, j := range r.jobs {
+		left := int(j.deadline.Sub(now).Microseconds())
+		q.Parts[i] = exchange.Part{
+			RequestID: r.id + "." + strconv.Itoa(i), Snapshot: j.ask.Snapshot, Shard: j.part.Shard,
+			Terms: j.ask.Terms, Limit: j.ask.Limit, BudgetUs: &left, Operation: j.ask.Operation, Item: j.ask.Item,
+		}
+	}
+	return q
+}
+
+// end settles the jobs of an exchange.
+func (k *keeper) end(now time.Time, e ended) {
+	delete(k.running, e.run.slot)
+	if e.err != nil {
+		k.failed(e)
+		return
+	}
+	k.note(e.reply.Report)
+	report := heardReport(e.reply.Report)
+	if shed(e.reply) {
+		k.gate.Shed(now, e.run.slot, report)
+	} else {
+		k.gate.Complete(now, e.run.slot, report, worked(e.reply))
+	}
+	k.tally.Sample("exchange-latency-us", now.Sub(e.run.began).Microseconds())
+	results := map[string]*exchange.Result{}
+	for i := range e.reply.Results {
+		results[e.reply.Results[i].RequestID] = &e.reply.Results[i]
+	}
+	for i, j := range e.run.jobs {
+		k.settle(j, results[e.run.id+"."+strconv.Itoa(i)])
+	}
+}
+
+// worked reports whether the target ran an exchange to its end.
+func worked(r exchange.Reply) bool {
+	return slices.ContainsFunc(r.Results, func(one exchange.Result) bool { return one.Outcome == exchange.ResultOutcomeDone })
+}
+
+func shed(r exchange.Reply) bool {
+	return len(r.Results) > 0 && r.Results[0].Reason != nil && *r.Results[0].Reason == query.ReasonShed
+}
+
+// failed settles the jobs of an exchange without a reply.
+func (k *keeper) failed(e ended) {
+	switch {
+	case errors.Is(e.err, errUnsent):
+		k.gate.Unsent(e.run.slot)
+		k.notRunAll(e.run.jobs, query.ReasonTargetLost)
+		return
+	case errors.Is(e.err, errExpired):
+		k.gate.Release(e.run.slot)
+		k.notRunAll(e.run.jobs, query.ReasonTooLate)
+		return
+	}
+	silent := errors.Is(e.err, context.DeadlineExceeded) || errors.Is(e.err, context.Canceled)
+	reason := query.ReasonTargetLost
+	if silent {
+		reason = query.ReasonSilent
+		k.link.close()
+	} else {
+		k.gate.Broken()
+	}
+	k.tally.Add("exchange-failed-"+reason, 1)
+	for _, j := range e.run.jobs {
+		k.tell(j, peer.Told{Outcome: string(exchange.ResultOutcomeUnknown), Reason: &reason})
+	}
+}
+
+// settle hands a result to whoever asked for it. A result that is missing may
+// have run.
+func (k *keeper) settle(j *job, r *exchange.Result) {
+	if r == nil {
+		reason := "no-result"
+		k.tally.Add("crossed-results", 1)
+		k.tell(j, peer.Told{Outcome: string(exchange.ResultOutcomeUnknown), Reason: &reason})
+		return
+	}
+	t := peer.Told{Outcome: string(r.Outcome), Reason: r.Reason, Snapshot: r.Snapshot}
+	if len(r.Hits) > 0 {
+		t.Hits = make([]peer.Hit, len(r.Hits))
+		for i, h := range r.Hits {
+			t.Hits[i] = peer.Hit(h)
+		}
+	}
+	if j.part.Seen != k.version {
+		j.from.Refresh(k.state())
+	}
+	k.tell(j, t)
+}
+
+func (k *keeper) notRunAll(jobs []*job, reason string) {
+	for _, j := range jobs {
+		k.notRun(j, reason)
+	}
+}
+
+// notRun answers a part that never reached the target.
+func (k *keeper) notRun(j *job, reason string) {
+	untouched := true
+	k.tally.Add("part-refused-"+reason, 1)
+	k.tell(j, peer.Told{Outcome: string(exchange.ResultOutcomeNotRun), Reason: &reason, Untouched: &untouched})
+}
+
+func (k *keeper) tell(j *job, t peer.Told) {
+	if j.told {
+		return
+	}
+	j.told = true
+	t.Query, t.ID, t.Target = j.ask.Query, j.part.ID, j.part.Target
+	if t.Snapshot == 0 {
+		t.Snapshot = j.ask.Snapshot
+	}
+	if !j.from.Tell(t) {
+		k.tally.Add("answers-dropped", 1)
+	}
+}
+
+// hear takes a report that came outside an exchange.
+func (k *keeper) hear(now time.Time, h heard) {
+	if h.err == nil {
+		k.note(h.report)
+		k.gate.Heard(now, heardReport(h.report))
+		if h.probe {
+			k.condemnBefore(h.opened)
+		}
+		return
+	}
+	if errors.Is(h.err, errUnsent) {
+		k.gate.Unreachable()
+		return
+	}
+	k.link.close()
+}
+
+// note remembers a report and names its holdings by their content.
+func (k *keeper) note(r exchange.Report) {
+	k.report = r
+	text, err := json.Marshal(r.Holdings)
+	if err == nil {
+		k.version = int(xxhash.Sum64(text)>>12) | 1
+	}
+}
+
+func heardReport(r exchange.Report) target.Report {
+	return target.Report{Incarnation: r.Incarnation, State: target.ParseState(string(r.State)), Load: r.Load}
+}
+
+func (k *keeper) state() peer.TargetState {
+	s := peer.TargetState{Target: k.target.Path(), Version: k.version, State: k.gate.State().String()}
+	s.Holdings = make([]peer.Holding, len(k.report.Holdings))
+	for i, h := range k.report.Holdings {
+		s.Holdings[i] = peer.Holding(h)
+	}
+	return s
+}
+
+// drop takes out parts that are no longer wanted. An exchange in which nothing
+// is wanted any more is cancelled at the target; its slot stays taken until the
+// target has answered.
+func (k *keeper) drop(ctx context.Context, c cancelled) {
+	unwanted := func(j *job) bool {
+		return j.from == c.from && j.ask.Query == c.query && slices.Contains(c.ids, j.part.ID)
+	}
+	n := k.queue.Remove(unwanted)
+	k.tally.Add("parts-cancelled-queued", n)
+	for _, r := range k.running {
+		wanted := false
+		for _, j := range r.jobs {
+			j.cancelled = j.cancelled || unwanted(j)
+			wanted = wanted || !j.cancelled
+		}
+		if !wanted && !r.stop && !k.plain {
+			r.stop = true
+			k.tally.Add("exchanges-cancelled", 1)
+			id := k.target.Path() + "/" + r.id
+			k.done.Go(func() {
+				limited, cancel := context.WithTimeout(ctx, k.target.Policy().SilentAfter())
+				defer cancel()
+				_ = k.link.cancel(limited, id)
+			})
+		}
+	}
+}
+
+// stallAt returns when the oldest exchange under way becomes suspect, or the
+// zero time.
+func (k *keeper) stallAt() time.Time {
+	usual := k.gate.Usual()
+	if usual == 0 || k.plain {
+		return time.Time{}
+	}
+	var first time.Time
+	for _, r := range k.running {
+		at := r.began.Add(max(stallLeast, stallFactor*usual))
+		if r.began.After(k.suspect) && (first.IsZero() || at.Before(first)) {
+			first = at
+		}
+	}
+	return first
+}
+
+// condemnStalled tests the target over a new connection when an exchange is
+// suspect.
+func (k *keeper) condemnStalled(ctx context.Context, now time.Time) {
+	at := k.stallAt()
+	if at.IsZero() || now.Before(at) {
+		return
+	}
+	k.suspect = now
+	k.link.close()
+	k.done.Go(func() { _ = k.ask(ctx, true) })
+}
+
+// condemnBefore lets go of the searches that were suspect before a test that
+// the target has answered, so that they are asked elsewhere. Their slots stay
+// taken, and their connections are closed when their deadlines have passed.
+func (k *keeper) condemnBefore(tested time.Time) {
+	usual := k.gate.Usual()
+	for _, r := range k.running {
+		if tested.Sub(r.began) < max(stallLeast, stallFactor*usual) {
+			continue
+		}
+		k.tally.Add("exchanges-stalled", 1)
+		reason := query.ReasonStalled
+		for _, j := range r.jobs {
+			if j.ask.Operation == nil {
+				k.tell(j, peer.Told{Outcome: string(exchange.ResultOutcomeUnknown), Reason: &reason})
+			}
+		}
+	}
+}
+
+// abandon answers everything when the keeper ends.
+func (k *keeper) abandon() {
+	jobs, late := k.queue.Take(nil, nil, time.Time{}, k.queue.Len())
+	k.notRunAll(append(jobs, late...), query.ReasonUnowned)
+	for _, e := range k.inbox.Drain(nil) {
+		k.notRunAll(e.jobs, query.ReasonUnowned)
+		if e.state != nil {
+			e.state <- k.status()
+		}
+		if e.wanted != nil {
+			e.wanted <- k.state()
+		}
+	}
+	for _, r := range k.running {
+		r.cancel()
+		reason := query.ReasonOwnerLost
+		for _, j := range r.jobs {
+			k.tell(j, peer.Told{Outcome: string(exchange.ResultOutcomeUnknown), Reason: &reason})
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/message.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"bytes"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"fescuerill/internal/schema"
+	"fescuerill/internal/schema/caller"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"gopkg.in/yaml.v3"
+)
+
+// messageSchemas are the schemas of what callers send, by name.
+var messageSchemas = sync.OnceValue(func() map[string]*jsonschema.Schema {
+	var doc any
+	if err := yaml.Unmarshal(schema.Caller, &doc); err != nil {
+		panic(err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("caller", doc); err != nil {
+		panic(err)
+	}
+	return map[string]*jsonschema.Schema{
+		"search": c.MustCompile("caller"),
+		"action": c.MustCompile("caller#/$defs/action"),
+	}
+})
+
+// checkMessage checks a message against its schema and decodes it.
+func checkMessage(name string, text []byte, out any) *failure {
+	v, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		return badRequest("not-json", err.Error())
+	}
+	if err := messageSchemas()[name].Validate(v); err != nil {
+		return badRequest("invalid-message", err.Error())
+	}
+	if err := json.Unmarshal(text, out); err != nil {
+		return badRequest("not-json", err.Error())
+	}
+	return nil
+}
+
+// spread puts hosts in a random order, those of the data centre near first.
+func spread(hosts []caller.Address, near string) []caller.Address {
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	slices.SortStableFunc(hosts, func(a, b caller.Address) int { return rank(a, near) - rank(b, near) })
+	return hosts
+}
+
+func rank(a caller.Address, near string) int {
+	if near != "" && a.DataCentre == near {
+		return 0
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/daemon/ownership.go
@@ -0,0 +1,259 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fescuerill/internal/schema/peer"
+	"fescuerill/internal/tally"
+	"fescuerill/owner"
+	"fescuerill/query"
+	"fescuerill/settings"
+	"fescuerill/target"
+)
+
+// Times of the owner role.
+const (
+	// shareEvery is how often the shares of targets are computed again.
+	shareEvery = 50 * time.Millisecond
+	// drainEvery is how often a keeper that ends is looked at.
+	drainEvery = 10 * time.Millisecond
+)
+
+// ownership is the owner role of a daemon: the targets it owns and their
+// keepers.
+type ownership struct {
+	tally   *tally.Tally
+	plain   bool
+	proven  func(now time.Time) bool
+	release func(to string, r peer.Release)
+	self    string
+
+	mu      sync.Mutex
+	ledger  owner.Ledger
+	keepers map[string]*keeper
+	shares  map[string]target.Share
+	view    *settings.View
+	early   []peer.Release
+	drains  sync.WaitGroup
+}
+
+func newOwnership(self string, lease time.Duration, t *tally.Tally, plain bool) *ownership {
+	o := &ownership{self: self, tally: t, plain: plain, keepers: map[string]*keeper{}, shares: map[string]target.Share{}}
+	o.ledger.Reset(self, lease)
+	return o
+}
+
+// adopt puts a division in force. Targets that go to other hosts are drained
+// and then released to them.
+func (o *ownership) adopt(now time.Time, d *division) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	lost := o.ledger.Adopt(now, d.epoch, o.proven(now))
+	for _, h := range lost {
+		k := o.keepers[h.Target]
+		delete(o.keepers, h.Target)
+		delete(o.shares, h.Target)
+		if k != nil {
+			o.drains.Go(func() { o.drain(k, h, d.epoch.Number) })
+		}
+	}
+	o.start()
+	early := o.early
+	o.early = nil
+	for _, r := range early {
+		o.receive(r)
+	}
+	o.share(now)
+}
+
+// readopt puts a division in force whose targets were not known when its epoch
+// was adopted.
+func (o *ownership) readopt(now time.Time, d *division) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ledger.Complete(now, d.epoch)
+	o.start()
+	o.share(now)
+}
+
+// start makes keepers for targets that are owned and known.
+func (o *ownership) start() {
+	for path, k := range o.keepers {
+		b := o.view.Target(path)
+		if !o.ledger.Owns(path) || b == nil || k.address != b.Address() {
+			delete(o.keepers, path)
+			delete(o.shares, path)
+			o.drains.Go(func() { o.drain(k, owner.Handover{}, 0) })
+		}
+	}
+	if o.view == nil {
+		return
+	}
+	for _, path := range o.ledger.Owned(nil) {
+		if b := o.view.Target(path); b != nil && o.keepers[path] == nil {
+			o.keepers[path] = newKeeper(b, o.tally, o.plain)
+		}
+	}
+}
+
+// apply puts settings in force.
+func (o *ownership) apply(v *settings.View) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.view = v
+	o.start()
+	for path, k := range o.keepers {
+		k.inbox.Push(event{view: v.Target(path)})
+	}
+	o.share(time.Now())
+}
+
+// drain ends a keeper: it takes no new work, finishes what is under way and
+// then hands the target over.
+func (o *ownership) drain(k *keeper, h owner.Handover, epoch int) {
+	none := target.ShareNone
+	k.inbox.Push(event{share: &none})
+	status := k.look()
+	for !status.settled {
+		time.Sleep(drainEvery)
+		status = k.look()
+	}
+	k.close()
+	if !h.Proven || h.To == "" {
+		return
+	}
+	o.tally.Add("targets-released", 1)
+	o.release(h.To, peer.Release{From: o.self, Epoch: epoch, Targets: []peer.Released{{
+		Target: h.Target, Incarnation: status.incarnation, State: status.state, Completed: status.completed,
+	}}})
+}
+
+// take handles a release from another host.
+func (o *ownership) take(r peer.Release) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if r.Epoch > o.ledger.Epoch() {
+		o.early = append(o.early, r)
+		return
+	}
+	o.receive(r)
+	o.share(time.Now())
+}
+
+func (o *ownership) receive(r peer.Release) {
+	for _, t := range r.Targets {
+		if !o.ledger.Released(r.Epoch, t.Target) {
+			continue
+		}
+		o.tally.Add("targets-taken-over", 1)
+		if k := o.keepers[t.Target]; k != nil {
+			k.inbox.Push(event{handover: &t})
+		}
+	}
+}
+
+// share tells the keepers how much of their targets they may use.
+func (o *ownership) share(now time.Time) {
+	proven := o.proven(now)
+	for path, k := range o.keepers {
+		s := o.ledger.Share(now, path, proven)
+		if b := o.view.Target(path); b == nil || !o.view.Takes(b) {
+			s = target.ShareNone
+		}
+		if old, ok := o.shares[path]; !ok || old != s {
+			o.shares[path] = s
+			k.inbox.Push(event{share: &s})
+		}
+	}
+}
+
+// run is the duty that follows the lease and the tenures.
+func (o *ownership) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, shareEvery)
+		o.mu.Lock()
+		o.share(time.Now())
+		o.mu.Unlock()
+	}
+}
+
+// ask hands the parts of a query to the keepers of their targets.
+func (o *ownership) ask(from teller, a *peer.Ask) {
+	deadline := time.Now().Add(time.Duration(a.BudgetUs) * time.Microsecond)
+	jobs := map[string][]*job{}
+	for _, p := range a.Parts {
+		jobs[p.Target] = append(jobs[p.Target], &job{from: from, ask: a, part: p, deadline: deadline})
+	}
+	for path, list := range jobs {
+		o.mu.Lock()
+		k := o.keepers[path]
+		pushed := k != nil && k.inbox.Push(event{jobs: list})
+		o.mu.Unlock()
+		if pushed {
+			continue
+		}
+		reason, untouched := query.ReasonUnowned, true
+		o.tally.Add("part-refused-"+reason, len(list))
+		for _, j := range list {
+			from.Tell(peer.Told{
+				Query: a.Query, ID: j.part.ID, Target: path, Snapshot: a.Snapshot,
+				Outcome: "not-run", Reason: &reason, Untouched: &untouched,
+			})
+		}
+	}
+}
+
+// cancel drops parts that are no longer wanted.
+func (o *ownership) cancel(from teller, c peer.Cancel) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, k := range o.keepers {
+		k.inbox.Push(event{cancel: &cancelled{from, c.Query, c.Ids}})
+	}
+}
+
+// statuses returns what is known of each target owned.
+func (o *ownership) statuses() []targetStatus {
+	o.mu.Lock()
+	keepers := make([]*keeper, 0, len(o.keepers))
+	for _, k := range o.keepers {
+		keepers = append(keepers, k)
+	}
+	o.mu.Unlock()
+	out := make([]targetStatus, len(keepers))
+	for i, k := range keepers {
+		out[i] = k.look()
+	}
+	return out
+}
+
+// states returns the states of the named targets that are owned here.
+func (o *ownership) states(paths []string) []peer.TargetState {
+	var out []peer.TargetState
+	for _, path := range paths {
+		o.mu.Lock()
+		k := o.keepers[path]
+		o.mu.Unlock()
+		if k == nil {
+			continue
+		}
+		if s := k.current(); s.Version != 0 {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// close ends all keepers at once.
+func (o *ownership) close() {
+	o.drains.Wait()
+	o.mu.Lock()
+	keepers := o.keepers
+	o.keepers = map[string]*keeper{}
+	o.mu.Unlock()
+	for _, k := range keepers {
+		k.close()
+	}
+}
--- /dev/null
+++ b/internal/link/server.go
@@ -0,0 +1,150 @@
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+
+	"fescuerill/internal/schema/peer"
+	"fescuerill/ring"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Handler answers what comes from other daemons. Its methods do not block.
+type Handler interface {
+	// Ask takes parts; the answers go to the Teller.
+	Ask(t *Teller, a peer.Asks)
+	// Call answers a request.
+	Call(ctx context.Context, method string, params json.RawMessage) (any, error)
+	// Dropped is called when a peer is dropped for what it sent.
+	Dropped(err error)
+}
+
+// Teller sends answers to the daemon that asked.
+type Teller struct {
+	out  ring.Ring[told]
+	seen map[string]string
+	mu   sync.Mutex
+}
+
+type told struct {
+	part  *peer.Told
+	state *peer.TargetState
+}
+
+// Tell sends the answer to a part. It reports whether there was room.
+func (t *Teller) Tell(p peer.Told) bool { return t.out.Push(told{part: &p}) }
+
+// State sends the state of a target when it differs from what was last sent.
+func (t *Teller) State(s peer.TargetState) {
+	t.mu.Lock()
+	news := t.seen[s.Target] != s.State
+	t.seen[s.Target] = s.State
+	t.mu.Unlock()
+	if news {
+		t.out.Push(told{state: &s})
+	}
+}
+
+// Refresh sends the state of a target in any case.
+func (t *Teller) Refresh(s peer.TargetState) { t.out.Push(told{state: &s}) }
+
+// Server accepts links. Serve makes one.
+type Server struct {
+	listener net.Listener
+	handler  Handler
+	traffic  *Traffic
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+}
+
+// Serve accepts links at the listener until Close.
+func Serve(l net.Listener, h Handler, t *Traffic) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{listener: l, handler: h, traffic: t, cancel: cancel}
+	s.done.Go(func() { s.accept(ctx) })
+	return s
+}
+
+// Close ends all connections.
+func (s *Server) Close() {
+	s.cancel()
+	_ = s.listener.Close()
+	s.done.Wait()
+}
+
+func (s *Server) accept(ctx context.Context) {
+	for {
+		raw, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.done.Go(func() { s.serve(ctx, raw) })
+	}
+}
+
+func (s *Server) serve(ctx context.Context, raw net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t := &Teller{seen: map[string]string{}}
+	c := newConn(ctx, raw, s.traffic, func(ctx context.Context, method string, params json.RawMessage) (any, error) {
+		answer, err := s.dispatch(ctx, t, method, params)
+		if err != nil {
+			s.handler.Dropped(err)
+		}
+		return answer, err
+	})
+	s.done.Go(func() { t.send(ctx, c) })
+	select {
+	case <-c.DisconnectNotify():
+	case <-ctx.Done():
+	}
+	_ = c.Close()
+}
+
+func (s *Server) dispatch(ctx context.Context, t *Teller, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case MethodPing:
+		return struct{}{}, nil
+	case MethodAsk:
+		var a peer.Asks
+		if err := json.Unmarshal(params, &a); err != nil {
+			return nil, errors.Wrap(err, "link: ask")
+		}
+		s.handler.Ask(t, a)
+		return nil, nil
+	default:
+		return s.handler.Call(ctx, method, params)
+	}
+}
+
+// send is the duty that drains answers.
+func (t *Teller) send(ctx context.Context, c *jsonrpc2.Conn) {
+	var batch []told
+	for {
+		select {
+		case <-t.out.Ready():
+		case <-ctx.Done():
+			return
+		}
+		batch = t.out.Drain(batch[:0])
+		if len(batch) == 0 {
+			continue
+		}
+		m := peer.Tells{Parts: []peer.Told{}}
+		for _, b := range batch {
+			if b.part != nil {
+				m.Parts = append(m.Parts, *b.part)
+			} else {
+				m.Targets = append(m.Targets, *b.state)
+			}
+		}
+		if c.Notify(ctx, MethodTell, m) != nil {
+			_ = c.Close()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/schema/schema.go
@@ -0,0 +1,29 @@
+// Package schema holds the JSON Schemas of fescuerill's settings and
+// messages. Each folder below it holds one schema and the Go types that are
+// generated from it; the types have exported fields and are used where data
+// enters or leaves a process.
+package schema
+
+import _ "embed"
+
+//go:generate go run github.com/atombender/go-jsonschema@v0.24.1 --only-models --struct-name-from-title --tags json,toml --capitalization ID -p tree -o tree/tree.gen.go tree/tree.yaml
+//go:generate go run github.com/atombender/go-jsonschema@v0.24.1 --only-models --struct-name-from-title --tags json,toml --capitalization ID -p node -o node/node.gen.go node/node.yaml
+//go:generate go run github.com/atombender/go-jsonschema@v0.24.1 --only-models --struct-name-from-title --tags json --capitalization ID -p exchange -o exchange/exchange.gen.go exchange/exchange.yaml
+//go:generate go run github.com/atombender/go-jsonschema@v0.24.1 --only-models --struct-name-from-title --tags json --capitalization ID -p caller -o caller/caller.gen.go caller/caller.yaml
+//go:generate go run github.com/atombender/go-jsonschema@v0.24.1 --only-models --struct-name-from-title --tags json --capitalization ID -p peer -o peer/peer.gen.go peer/peer.yaml
+//go:generate go run github.com/atombender/go-jsonschema@v0.24.1 --only-models --struct-name-from-title --tags json --capitalization ID -p platform -o platform/platform.gen.go platform/platform.yaml
+
+// Tree is the schema of the operators' settings.
+//
+//go:embed tree/tree.yaml
+var Tree []byte
+
+// Node is the schema of a daemon's settings.
+//
+//go:embed node/node.yaml
+var Node []byte
+
+// Caller is the schema of the messages between callers and hosts.
+//
+//go:embed caller/caller.yaml
+var Caller []byte
--- /dev/null
+++ b/internal/standin/deployment.go
@@ -0,0 +1,160 @@
+package standin
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Shape describes a deployment.
+type Shape struct {
+	Name        string
+	DataCentres []string
+	Groups      []GroupShape
+	// Policy is the body of the policy table of the deployment.
+	Policy string
+}
+
+// GroupShape describes a target group: Services services of Targets targets.
+type GroupShape struct {
+	Name                     string
+	Services, Targets        int
+	Slots, Connections       int
+	ConnectTime              time.Duration
+	Batch, ColdBatch, WarmBy int
+}
+
+// TrustShape returns the deployment of the Kavango Horological Rota Trust.
+func TrustShape() Shape {
+	return Shape{
+		Name: "khomas", DataCentres: []string{"khomas-a", "khomas-b", "khomas-c"},
+		Policy: "deadline = \"60ms\"\nhedge-quantile = 0.95\n",
+		Groups: []GroupShape{
+			{"dispatch-desk", 20, 2, 2, 25, 6 * time.Millisecond, 32, 4, 4},
+			{"ledger-bridge", 30, 2, 2, 25, 6 * time.Millisecond, 32, 4, 4},
+			{"winder-handset", 1, 3, 6, 110, time.Millisecond, 32, 4, 4},
+			{"steward-notices", 1, 3, 6, 110, time.Millisecond, 32, 4, 4},
+		},
+	}
+}
+
+// ExchangeShape returns the deployment of the Batinah Stave Exchange.
+func ExchangeShape() Shape {
+	return Shape{
+		Name: "om-batinah", DataCentres: []string{"om-batinah-a", "om-batinah-b", "om-batinah-c", "om-batinah-d"},
+		Policy: "deadline = \"45ms\"\nhedge-quantile = 0.9\n",
+		Groups: []GroupShape{
+			{"yard-desk", 20, 2, 2, 25, 6 * time.Millisecond, 32, 4, 4},
+			{"buyer-portal", 30, 2, 2, 25, 6 * time.Millisecond, 32, 4, 4},
+			{"lot-viewer", 1, 6, 6, 50, time.Millisecond, 32, 4, 4},
+			{"dispatch", 1, 4, 6, 50, time.Millisecond, 32, 4, 4},
+		},
+	}
+}
+
+// Deployment is a shape with its stand-in targets running on loopback.
+type Deployment struct {
+	shape   Shape
+	targets map[string]*Target
+	servers map[string]*Server
+	order   []string
+	centres map[string]string
+}
+
+// NewDeployment starts the targets of a shape. The options give the times and
+// the seed; what a target bears comes from the shape.
+func NewDeployment(s Shape, c *Corpus, o TargetOptions) (*Deployment, error) {
+	d := &Deployment{shape: s, targets: map[string]*Target{}, servers: map[string]*Server{}, centres: map[string]string{}}
+	for _, g := range s.Groups {
+		o.Services += g.Services
+	}
+	service, count := 0, 0
+	for _, g := range s.Groups {
+		o.Slots, o.Batch, o.ColdSlots, o.ColdBatch, o.WarmStep = g.Slots, g.Batch, 1, g.ColdBatch, g.WarmBy
+		for i := range g.Services {
+			for j := range g.Targets {
+				o.Service, o.Index, o.Replicas = service, j, g.Targets
+				path := fmt.Sprintf("%s/%s-%02d/%c", g.Name, g.Name, i+1, 'a'+j)
+				if err := d.start(path, NewTarget(o, c)); err != nil {
+					d.Close()
+					return nil, err
+				}
+				d.centres[path] = s.DataCentres[count%len(s.DataCentres)]
+				count++
+			}
+			service++
+		}
+	}
+	return d, nil
+}
+
+func (d *Deployment) start(path string, t *Target) error {
+	server, err := Listen("127.0.0.1:0", t)
+	if err != nil {
+		return err
+	}
+	d.targets[path], d.servers[path] = t, server
+	d.order = append(d.order, path)
+	return nil
+}
+
+// Close stops all targets.
+func (d *Deployment) Close() {
+	for _, s := range d.servers {
+		s.Stop()
+	}
+}
+
+// Paths returns the paths of all targets in the order of the shape.
+func (d *Deployment) Paths() []string { return d.order }
+
+// Target returns the target with the path.
+func (d *Deployment) Target(path string) *Target { return d.targets[path] }
+
+// Server returns the server of the target with the path.
+func (d *Deployment) Server(path string) *Server { return d.servers[path] }
+
+// SetSnapshots sets the snapshots that all targets hold.
+func (d *Deployment) SetSnapshots(numbers ...int) {
+	for _, t := range d.targets {
+		t.SetSnapshots(numbers...)
+	}
+}
+
+// Totals returns the sums of what all targets saw.
+func (d *Deployment) Totals() TargetCounts {
+	var sum TargetCounts
+	for _, t := range d.targets {
+		c := t.Counts()
+		sum.Exchanges += c.Exchanges
+		sum.Parts += c.Parts
+		sum.Actions += c.Actions
+		sum.Shed += c.Shed
+		sum.Cancelled += c.Cancelled
+		sum.Overruns += c.Overruns
+		sum.ColdOverruns += c.ColdOverruns
+		sum.Unannounced += c.Unannounced
+		sum.Repeated += c.Repeated
+		sum.MostAtOnce = max(sum.MostAtOnce, c.MostAtOnce)
+	}
+	return sum
+}
+
+// Settings returns the settings file of the deployment.
+func (d *Deployment) Settings() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "deployment = %q\n[policy]\n%s", d.shape.Name, d.shape.Policy)
+	for _, dc := range d.shape.DataCentres {
+		fmt.Fprintf(&b, "[data-centres.%s]\nstate = \"in\"\n", dc)
+	}
+	for _, g := range d.shape.Groups {
+		fmt.Fprintf(&b, "[groups.%s.policy]\nslots = %d\nconnections = %d\nconnect-time = %q\nbatch = %d\ncold-batch = %d\nwarm-step = %d\n",
+			g.Name, g.Slots, g.Connections, g.ConnectTime, g.Batch, g.ColdBatch, g.WarmBy)
+	}
+	for _, path := range d.order {
+		names := strings.Split(path, "/")
+		fmt.Fprintf(&b, "[groups.%s.services.%s.targets.%s]\naddress = %q\ndata-centre = %q\n",
+			names[0], names[1], names[2], d.servers[path].Address(), d.centres[path])
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/standin/listen.go
@@ -0,0 +1,58 @@
+package standin
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Server serves a stand-in at an IP address and can be stopped and started
+// again at the same one.
+type Server struct {
+	mu      sync.Mutex
+	handler http.Handler
+	address string
+	server  *http.Server
+}
+
+// Listen serves the handler at the IP address and port; port 0 picks one.
+func Listen(address string, h http.Handler) (*Server, error) {
+	s := &Server{handler: h, address: address}
+	return s, s.Start()
+}
+
+// Address returns the IP address and port at which the server listens.
+func (s *Server) Address() string { return s.address }
+
+// Start listens again after Stop.
+func (s *Server) Start() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var c net.ListenConfig
+	l, err := c.Listen(context.Background(), "tcp", s.address)
+	if err != nil {
+		return err
+	}
+	s.address = l.Addr().String()
+	server := &http.Server{
+		Handler: s.handler, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError), ReadHeaderTimeout: time.Second,
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, openedKey{}, time.Now())
+		},
+	}
+	s.server = server
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
+
+// Stop closes the listener and all connections.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.server != nil {
+		_ = s.server.Close()
+	}
+}
--- /dev/null
+++ b/internal/tally/tally.go
@@ -0,0 +1,69 @@
+// Package tally names the counters and histograms of a daemon.
+package tally
+
+import (
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// reservoir is the number of samples that a histogram keeps.
+const reservoir = 4096
+
+// Tally is a set of counters, gauges and histograms. The zero value is empty.
+// Its methods may be called from several goroutines.
+type Tally struct {
+	once sync.Once
+	set  metrics.Registry
+}
+
+func (t *Tally) registry() metrics.Registry {
+	t.once.Do(func() { t.set = metrics.NewRegistry() })
+	return t.set
+}
+
+// Add adds n to the counter with the name.
+func (t *Tally) Add(name string, n int) {
+	if n != 0 {
+		metrics.GetOrRegisterCounter(name, t.registry()).Inc(int64(n))
+	}
+}
+
+// Gauge sets the gauge with the name.
+func (t *Tally) Gauge(name string, v int) {
+	metrics.GetOrRegisterGauge(name, t.registry()).Update(int64(v))
+}
+
+// Sample adds a value to the histogram with the name.
+func (t *Tally) Sample(name string, v int64) {
+	t.registry().GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewUniformSample(reservoir))
+	}).(metrics.Histogram).Update(v)
+}
+
+// Count returns the value of the counter with the name.
+func (t *Tally) Count(name string) int64 {
+	c, ok := t.registry().Get(name).(metrics.Counter)
+	if !ok {
+		return 0
+	}
+	return c.Count()
+}
+
+// Each calls f for each counter and gauge, and for the quantiles of each
+// histogram.
+func (t *Tally) Each(f func(name string, value int64)) {
+	t.registry().Each(func(name string, m any) {
+		switch v := m.(type) {
+		case metrics.Counter:
+			f(name, v.Count())
+		case metrics.Gauge:
+			f(name, v.Value())
+		case metrics.Histogram:
+			q := v.Snapshot().Percentiles([]float64{0.5, 0.99, 0.999})
+			f(name+"-p50", int64(q[0]))
+			f(name+"-p99", int64(q[1]))
+			f(name+"-p999", int64(q[2]))
+		}
+	})
+}
--- /dev/null
+++ b/internal/trial/trial.go
@@ -0,0 +1,226 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	"fescuerill/docs"
+	"fescuerill/internal/daemon"
+	"fescuerill/internal/standin"
+	"fescuerill/settings"
+	"fescuerill/store"
+
+	"github.com/pkg/errors"
+)
+
+// readyTime bounds how long a trial waits for its daemons.
+const readyTime = 20 * time.Second
+
+// Options describe a trial.
+type Options struct {
+	Shape standin.Shape
+	Hosts int
+	// Target gives the times of the targets and the seed.
+	Target standin.TargetOptions
+	// Plain runs the daemons without the policies at the targets' side.
+	Plain bool
+	// LeaseTime and AddressValidity are those of the daemons; zero values take
+	// short ones.
+	LeaseTime, AddressValidity time.Duration
+	Admitted                   int
+	Log                        *slog.Logger
+}
+
+// Trial is a deployment under way. Start makes one.
+type Trial struct {
+	options    Options
+	store      *standin.Store
+	server     *standin.Server
+	client     *store.Client
+	corpus     *standin.Corpus
+	deployment *standin.Deployment
+	daemons    []*daemon.Daemon
+}
+
+// Start starts the stand-ins and daemons and waits until all are ready.
+func Start(o Options) (*Trial, error) {
+	if o.LeaseTime == 0 {
+		o.LeaseTime = 2 * time.Second
+	}
+	if o.AddressValidity == 0 {
+		o.AddressValidity = time.Second
+	}
+	if o.Admitted == 0 {
+		o.Admitted = settings.DefaultAdmitted
+	}
+	t := &Trial{options: o, store: &standin.Store{}}
+	if err := t.start(); err != nil {
+		t.Close()
+		return nil, err
+	}
+	return t, nil
+}
+
+func (t *Trial) start() error {
+	var err error
+	if t.corpus, err = standin.NewCorpus(docs.Files); err != nil {
+		return errors.Wrap(err, "trial: corpus")
+	}
+	if t.server, err = standin.Listen("127.0.0.1:0", t.store); err != nil {
+		return errors.Wrap(err, "trial: store")
+	}
+	if t.deployment, err = standin.NewDeployment(t.options.Shape, t.corpus, t.options.Target); err != nil {
+		return errors.Wrap(err, "trial: targets")
+	}
+	t.client = store.NewClient(t.server.Address())
+	if err := t.Apply(t.deployment.Settings()); err != nil {
+		return err
+	}
+	for range t.options.Hosts {
+		if _, err := t.AddDaemon(); err != nil {
+			return err
+		}
+	}
+	return t.AwaitReady()
+}
+
+// Apply accepts settings.
+func (t *Trial) Apply(text string) error {
+	tree, err := settings.ParseTree("trial.toml", []byte(text))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), readyTime)
+	defer cancel()
+	present, _, err := settings.Current(ctx, t.client)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
+	}
+	id := fmt.Sprintf("trial-%d-%d", present.Revision+1, time.Now().UnixNano())
+	_, err = settings.Apply(ctx, t.client, tree, settings.Change{ID: id, Author: "trial", Base: present.Revision})
+	return err
+}
+
+// AddDaemon starts one more daemon.
+func (t *Trial) AddDaemon() (*daemon.Daemon, error) {
+	n := len(t.daemons)
+	return t.StartDaemon(fmt.Sprintf("entry-%d", n+1), t.options.Shape.DataCentres[n%len(t.options.Shape.DataCentres)])
+}
+
+// StartDaemon starts a daemon with the name in a data centre.
+func (t *Trial) StartDaemon(id, dataCentre string) (*daemon.Daemon, error) {
+	callers, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	peers, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf("id = %q\ndata-centre = %q\ncaller-address = %q\npeer-address = %q\nstore = %q\naddress-validity = %q\nlease-time = %q\nadmitted = %d\n",
+		id, dataCentre, callers, peers, t.server.Address(), t.options.AddressValidity, t.options.LeaseTime, t.options.Admitted)
+	node, err := settings.ParseNode(id+".toml", []byte(text))
+	if err != nil {
+		return nil, err
+	}
+	d, err := daemon.Start(node, daemon.Options{Plain: t.options.Plain, Log: t.options.Log})
+	if err != nil {
+		return nil, err
+	}
+	t.daemons = append(t.daemons, d)
+	return d, nil
+}
+
+func freeAddress() (string, error) {
+	var c net.ListenConfig
+	l, err := c.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "trial: address")
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// AwaitReady waits until every daemon takes requests and knows every target.
+func (t *Trial) AwaitReady() error {
+	end := time.Now().Add(readyTime)
+	for time.Now().Before(end) {
+		if t.ready() {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return errors.New("trial: daemons are not ready in time")
+}
+
+func (t *Trial) ready() bool {
+	for _, d := range t.daemons {
+		if !d.Ready() || d.Knows() < len(t.deployment.Paths()) {
+			return false
+		}
+	}
+	return true
+}
+
+// Store returns the stand-in for the platform's store.
+func (t *Trial) Store() *standin.Store { return t.store }
+
+// Client returns a client of the stand-in store.
+func (t *Trial) Client() *store.Client { return t.client }
+
+// Corpus returns the text that the targets serve.
+func (t *Trial) Corpus() *standin.Corpus { return t.corpus }
+
+// Deployment returns the targets.
+func (t *Trial) Deployment() *standin.Deployment { return t.deployment }
+
+// Daemons returns the daemons that were started and not forgotten.
+func (t *Trial) Daemons() []*daemon.Daemon { return t.daemons }
+
+// Forget removes a daemon that has ended.
+func (t *Trial) Forget(d *daemon.Daemon) {
+	kept := t.daemons[:0]
+	for _, one := range t.daemons {
+		if one != d {
+			kept = append(kept, one)
+		}
+	}
+	t.daemons = kept
+}
+
+// Addresses returns the addresses of the daemons for callers.
+func (t *Trial) Addresses() []string {
+	out := make([]string, len(t.daemons))
+	for i, d := range t.daemons {
+		out[i] = d.CallerAddress()
+	}
+	return out
+}
+
+// Counter returns the sum of a counter over all daemons.
+func (t *Trial) Counter(name string) int64 {
+	var sum int64
+	for _, d := range t.daemons {
+		sum += d.Tally().Count(name)
+	}
+	return sum
+}
+
+// Close ends everything at once.
+func (t *Trial) Close() {
+	for _, d := range t.daemons {
+		d.Kill()
+	}
+	if t.deployment != nil {
+		t.deployment.Close()
+	}
+	if t.client != nil {
+		t.client.Close()
+	}
+	if t.server != nil {
+		t.server.Stop()
+	}
+}
--- /dev/null
+++ b/query/coverage.go
@@ -0,0 +1,55 @@
+package query
+
+import "fescuerill/internal/invariant"
+
+// Missing is a shard that an answer does not cover.
+type Missing struct {
+	Shard, Reason string
+}
+
+// Coverage says which shards of a snapshot an answer covers.
+type Coverage struct {
+	Snapshot int
+	Covered  []string
+	Missing  []Missing
+}
+
+// Share returns the part of all shards that is covered, from 0 to 1. An
+// answer over no shards covers none.
+func (c Coverage) Share() float64 {
+	all := len(c.Covered) + len(c.Missing)
+	if all == 0 {
+		return 0
+	}
+	return float64(len(c.Covered)) / float64(all)
+}
+
+// Answer is the outcome of a query.
+type Answer struct {
+	Hits     []Hit
+	Coverage Coverage
+}
+
+// Answer returns what the query has found. Shards that are not answered by now
+// are missing.
+func (q *Query) Answer() Answer {
+	a := Answer{Hits: q.hits.best(nil), Coverage: Coverage{Snapshot: q.number}}
+	c := &a.Coverage
+	for i := range q.parts {
+		p := &q.parts[i]
+		name := q.shards[i].Name()
+		switch {
+		case p.status == done:
+			c.Covered = append(c.Covered, name)
+		case p.reason != "":
+			c.Missing = append(c.Missing, Missing{name, p.reason})
+		default:
+			c.Missing = append(c.Missing, Missing{name, ReasonDeadline})
+		}
+	}
+	for _, service := range q.uncharted {
+		c.Missing = append(c.Missing, Missing{service + "/*", ReasonUncharted})
+	}
+	invariant.Check(len(c.Covered)+len(c.Missing) == len(q.shards)+len(q.uncharted), "coverage-names-every-shard")
+	return a
+}
--- /dev/null
+++ b/settings/history.go
@@ -0,0 +1,72 @@
+package settings
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"fescuerill/internal/schema/platform"
+	"fescuerill/store"
+
+	"github.com/pkg/errors"
+)
+
+// Kept is the number of manifests that the store keeps.
+const Kept = 32
+
+// recordKey returns the key of the record of a revision. Keys are used again
+// in turn, so that the store never holds more than Kept records.
+func recordKey(revision int) string { return fmt.Sprintf("%s%02d", recordPrefix, revision%Kept) }
+
+// History returns the manifests that the store still holds, newest first. The
+// manifest in force is recorded when the next one is accepted.
+func History(ctx context.Context, s store.Service) ([]platform.Manifest, error) {
+	entries, err := s.List(ctx, recordPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var out []platform.Manifest
+	for _, e := range entries {
+		var m platform.Manifest
+		if err := json.Unmarshal([]byte(e.Value), &m); err != nil {
+			return nil, errors.Wrap(err, e.Key)
+		}
+		out = append(out, m)
+	}
+	present, _, err := Current(ctx, s)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return nil, err
+	}
+	if err == nil {
+		out = append(out, present)
+	}
+	sortNewestFirst(out)
+	return slices.CompactFunc(out, func(a, b platform.Manifest) bool { return a.Revision == b.Revision }), nil
+}
+
+// Fetch returns the tree of a manifest. Contents that known holds by their
+// hashes are not read from the store; those read are added to it.
+func Fetch(ctx context.Context, s store.Service, m platform.Manifest, known map[string]string) (*Tree, error) {
+	parts := make(map[string]string, len(m.Parts))
+	for _, p := range m.Parts {
+		content, ok := known[p.Hash]
+		if !ok {
+			e, err := s.Get(ctx, partPrefix+p.Hash)
+			if err != nil {
+				return nil, errors.Wrap(err, "settings: part "+p.Path)
+			}
+			if HashOf(e.Value) != p.Hash {
+				return nil, errors.Errorf("settings: part %s does not match its hash", p.Path)
+			}
+			content = e.Value
+			known[p.Hash] = content
+		}
+		parts[p.Path] = content
+	}
+	return Join(parts)
+}
+
+func sortNewestFirst(list []platform.Manifest) {
+	slices.SortFunc(list, func(a, b platform.Manifest) int { return b.Revision - a.Revision })
+}
--- /dev/null
+++ b/settings/tree_test.go
@@ -0,0 +1,129 @@
+package settings_test
+
+import (
+	"testing"
+
+	"fescuerill/settings"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const small = `deployment = "khomas"
+[policy]
+deadline = "50ms"
+[data-centres.khomas-a]
+[data-centres.khomas-b]
+state = "out"
+[groups.desk.policy]
+slots = 4
+[groups.desk.services.desk-01.targets.a]
+address = "10.0.0.1:80"
+data-centre = "khomas-a"
+[groups.desk.services.desk-01.targets.b]
+address = "10.0.0.2:80"
+data-centre = "khomas-b"
+[groups.desk.services.desk-01.targets.b.policy]
+slots = 3
+`
+
+func TestEffectiveNamesTheLevelOfEachValue(t *testing.T) {
+	tree, err := settings.ParseTree("small.toml", []byte(small))
+	require.NoError(t, err)
+	tests := []struct{ path, key, want, level string }{
+		{"", "deadline", "50ms", "deployment"},
+		{"desk/desk-01/a", "slots", "4", "desk"},
+		{"desk/desk-01/b", "slots", "3", "desk/desk-01/b"},
+		{"desk/desk-01/b", "connections", "25", "default"},
+	}
+	for _, tt := range tests {
+		values, err := tree.Effective(tt.path)
+		require.NoError(t, err)
+		for _, v := range values {
+			if v.Key() == tt.key {
+				assert.Equal(t, tt.want, v.Text(), tt.path)
+				assert.Equal(t, tt.level, v.Level(), tt.path)
+			}
+		}
+	}
+	_, err = tree.Effective("desk/desk-09")
+	require.ErrorIs(t, err, settings.ErrUnknownPath)
+}
+
+func TestViewKnowsWhatTakesNewWork(t *testing.T) {
+	tree, err := settings.ParseTree("small.toml", []byte(small))
+	require.NoError(t, err)
+	v := tree.View(7)
+	assert.True(t, v.Takes(v.Target("desk/desk-01/a")))
+	assert.False(t, v.Takes(v.Target("desk/desk-01/b")), "its data centre is out")
+	assert.True(t, v.DataCentreOut("khomas-z"), "an unknown data centre is out")
+	assert.Len(t, v.Scope(nil, "desk"), 1)
+	assert.Empty(t, v.Scope(nil, "des"))
+}
+
+func TestFiveFaultsGiveFiveFindings(t *testing.T) {
+	const faulty = `deployment = "khomas"
+[data-centres.khomas-a]
+[groups.desk.policy]
+deadline = "50"
+slots = 0
+wrong = 1
+[groups.desk.services.desk-01.targets.a]
+address = "db.example:80"
+data-centre = "khomas-a"
+[groups.desk.services.desk-02.targets.a]
+address = "10.0.0.2:80"
+data-centre = "khomas-a"
+[groups.desk.services.desk-02.targets.b]
+address = "10.0.0.2:80"
+data-centre = "khomas-a"
+[groups.desk.services.desk-03.targets]
+`
+	_, err := settings.ParseTree("faulty.toml", []byte(faulty))
+	var got settings.Findings
+	require.ErrorAs(t, err, &got)
+	want := []struct {
+		line int
+		key  string
+	}{
+		{4, "groups.desk.policy.deadline"},
+		{5, "groups.desk.policy.slots"},
+		{6, "groups.desk.policy.wrong"},
+		{8, "groups.desk.services.desk-01.targets.a.address"},
+		{14, "groups.desk.services.desk-02.targets.b.address"},
+		{16, "groups.desk.services.desk-03.targets"},
+	}
+	require.Len(t, got, len(want), err)
+	for i, w := range want {
+		assert.Equal(t, w.key, got[i].Key())
+		assert.Equal(t, w.line, got[i].Place().Line, got[i].String())
+	}
+}
+
+func TestNodeRefusesWhatItCannotListenOn(t *testing.T) {
+	_, err := settings.ParseNode("n.toml", []byte(`id = "h1"
+data-centre = "a"
+caller-address = "localhost:1"
+peer-address = "300.0.0.1:2"
+store = "127.0.0.1:3"
+lease-time = "5"
+`))
+	var got settings.Findings
+	require.ErrorAs(t, err, &got)
+	require.Len(t, got, 3, err)
+}
+
+func FuzzParseTree(f *testing.F) {
+	f.Add(small)
+	f.Add("deployment = 1\n[groups]\n")
+	f.Add("[a]\n[a.b]\nc = [1, {d = 2}]\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		tree, err := settings.ParseTree("f.toml", []byte(text))
+		if (tree == nil) == (err == nil) {
+			t.Fatal("a tree and no findings, or findings and no tree")
+		}
+		if tree != nil {
+			tree.View(1)
+		}
+	})
+}
--- /dev/null
+++ b/snapshot/map.go
@@ -0,0 +1,157 @@
+package snapshot
+
+import (
+	"slices"
+	"sort"
+	"strconv"
+)
+
+// Service names a service and its targets.
+type Service struct {
+	Path    string
+	Targets []string
+}
+
+// Shard is one shard of a service under a snapshot.
+type Shard struct {
+	name    string
+	service string
+	number  int
+	holders []string
+}
+
+// Name returns the path of the shard, unique within a snapshot.
+func (s Shard) Name() string { return s.name }
+
+// Service returns the path of the service to which the shard belongs.
+func (s Shard) Service() string { return s.service }
+
+// Number returns the number of the shard within its service.
+func (s Shard) Number() int { return s.number }
+
+// Holders returns the targets that hold the shard. The caller does not change
+// it.
+func (s Shard) Holders() []string { return s.holders }
+
+// Map is the shard map of some services under one snapshot. It is not changed
+// once made.
+type Map struct {
+	snapshot  int
+	shards    []Shard
+	uncharted []string
+}
+
+// Snapshot returns the sequence number of the snapshot.
+func (m *Map) Snapshot() int { return m.snapshot }
+
+// Shards returns all shards. Shards that no target holds have no holders.
+func (m *Map) Shards() []Shard { return m.shards }
+
+// Uncharted returns the services of which no target has said how they are
+// divided under the snapshot.
+func (m *Map) Uncharted() []string { return m.uncharted }
+
+// Held returns the number of shards with a holder.
+func (m *Map) Held() int {
+	n := 0
+	for _, s := range m.shards {
+		if len(s.holders) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// share returns the part of all shards that has a holder. A service that is
+// uncharted counts as one shard without.
+func (m *Map) share() float64 {
+	all := len(m.shards) + len(m.uncharted)
+	if all == 0 {
+		return 0
+	}
+	return float64(m.Held()) / float64(all)
+}
+
+// Choose returns the map of the snapshot, newer than after, under which the
+// greatest share of the shards of the services has a holder that usable
+// accepts; of equal ones the newest. It returns nil when no such snapshot is
+// known.
+func (c *Catalog) Choose(services []Service, after int, usable func(target string) bool) *Map {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	var best *Map
+	for _, number := range c.snapshots(services, usable) {
+		if number <= after {
+			break
+		}
+		m := c.chart(number, services, usable)
+		if best == nil || m.share() > best.share() {
+			best = m
+		}
+	}
+	return best
+}
+
+// snapshots returns the sequence numbers known for the services, newest first.
+func (c *Catalog) snapshots(services []Service, usable func(string) bool) []int {
+	seen := map[int]bool{}
+	for _, s := range services {
+		for _, t := range s.Targets {
+			if !usable(t) {
+				continue
+			}
+			for _, h := range c.targets[t].holdings {
+				seen[h.snapshot] = true
+			}
+		}
+	}
+	numbers := make([]int, 0, len(seen))
+	for n := range seen {
+		numbers = append(numbers, n)
+	}
+	sort.Sort(sort.Reverse(sort.IntSlice(numbers)))
+	return numbers
+}
+
+func (c *Catalog) chart(number int, services []Service, usable func(string) bool) *Map {
+	m := &Map{snapshot: number}
+	for _, s := range services {
+		shards := c.divide(number, s, usable)
+		if len(shards) == 0 {
+			m.uncharted = append(m.uncharted, s.Path)
+		}
+		m.shards = append(m.shards, shards...)
+	}
+	return m
+}
+
+// divide returns the shards of one service. Targets that disagree with the
+// first one on the number of shards are not used.
+func (c *Catalog) divide(number int, s Service, usable func(string) bool) []Shard {
+	var shards []Shard
+	for _, t := range s.Targets {
+		holdings := c.targets[t].holdings
+		i := slices.IndexFunc(holdings, func(h Holding) bool { return h.snapshot == number })
+		if i < 0 {
+			continue
+		}
+		if shards == nil {
+			shards = name(s.Path, holdings[i].shards)
+		}
+		if holdings[i].shards != len(shards) || !usable(t) {
+			continue
+		}
+		for _, n := range holdings[i].held {
+			shards[n].holders = append(shards[n].holders, t)
+		}
+	}
+	return shards
+}
+
+func name(service string, count int) []Shard {
+	shards := make([]Shard, count)
+	for i := range shards {
+		shards[i] = Shard{name: service + "/" + strconv.Itoa(i), service: service, number: i}
+	}
+	return shards
+}
