--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,6 +113,9 @@
 			PeerAddress: n.PeerAddress(), DataCentre: n.DataCentre(), State: stateLive,
 		},
 	}
+	if n.HostList() != "" {
+		d.fleet.list, d.fleet.lag = store.NewHostList(n.HostList()), hostListLag
+	}
 	d.ownership.proven = d.fleet.proven
 	d.ownership.release = d.release
 	d.keeper = newSettingsKeeper(d)
@@ -124,6 +127,7 @@
 	d.cancel = cancel
 	for _, duty := range []func(context.Context){
 		d.fleet.hold, d.fleet.watch, d.fleet.survey, d.ownership.run, d.keeper.watch, d.discover,
+		func(ctx context.Context) { d.ownership.survey(ctx, d.fleet) },
 	} {
 		d.duties.Go(func() { duty(ctx) })
 	}
@@ -268,8 +272,10 @@
 // CallerAddress returns the IP address and port for callers.
 func (d *Daemon) CallerAddress() string { return d.node.CallerAddress() }
 
-// Knows returns the number of targets whose holdings are known and which may be
-// given work by their owner.
+// Usable returns the number of targets that the host owns and may use.
+func (d *Daemon) Usable() int { return d.ownership.usable() }
+
+// Knows returns the number of targets whose holdings are known.
 func (d *Daemon) Knows() int {
 	v, n := d.entry.view.Load(), 0
 	if v == nil {
--- a/internal/daemon/division.go
+++ b/internal/daemon/division.go
@@ -33,11 +33,11 @@
 		owner.Assign(d.owners, owners(m.Hosts), targets(v))
 	}
 	d.epoch = owner.Epoch{
-		Number: m.Epoch, Owners: d.owners, Lapsed: m.Lapsed, Renewed: m.Renewed,
+		Number: m.Epoch, Owners: d.owners, Lapsed: m.Lapsed, Suspects: m.Doubted,
 		Settled: m.Settled != nil && *m.Settled, Clean: m.Clean != nil && *m.Clean,
 	}
-	for _, h := range m.Left {
-		d.epoch.Left = append(d.epoch.Left, h.ID)
+	for _, h := range m.Hosts {
+		d.epoch.Suspects = append(d.epoch.Suspects, h.ID)
 	}
 	d.epoch.Before = before(m, old, views)
 	return d
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -11,6 +11,7 @@
 
 	"fescuerill/internal/schema/platform"
 	"fescuerill/lease"
+	"fescuerill/owner"
 	"fescuerill/settings"
 	"fescuerill/store"
 
@@ -28,6 +29,8 @@
 	surveyEvery = time.Second
 	// watchWait is how long a watch waits.
 	watchWait = 20 * time.Second
+	// hostListLag is how long the host list is behind at most.
+	hostListLag = 30 * time.Second
 	// storeRetry is the mean wait after a call that failed.
 	storeRetry = 500 * time.Millisecond
 )
@@ -39,6 +42,9 @@
 	self  platform.Member
 	time  time.Duration
 	adopt func(m platform.Members, asked time.Time)
+	list  *store.HostList
+	// lag is how long the host list is behind at most.
+	lag time.Duration
 
 	// adopting is held while a record is put in force, so that they are in
 	// order; mu guards the fields.
@@ -51,6 +57,7 @@
 	since    time.Time
 	leaving  bool
 	failing  bool
+	absent   map[string]time.Time
 	view     func() *settings.View
 }
 
@@ -111,13 +118,13 @@
 	}
 	f.mu.Lock()
 	self := f.self
-	self.Lease = id
+	self.Lease, self.Epoch = id, 0
 	f.mu.Unlock()
 	if err := f.write(ctx, self); err != nil {
 		return err
 	}
 	f.mu.Lock()
-	f.self.Lease = id
+	f.self.Lease, f.self.Epoch = id, 0
 	f.lease.Granted(id, sent, f.time)
 	f.mu.Unlock()
 	return f.read(ctx)
@@ -252,22 +259,16 @@
 	f.mu.Lock()
 	old, revision, since := f.members, f.revision, f.since
 	f.mu.Unlock()
-	entries, err := f.store.List(ctx, hostPrefix)
+	listed, err := f.listed(ctx)
 	if err != nil {
 		return err
 	}
-	var listed []platform.Member
-	for _, e := range entries {
-		var m platform.Member
-		if json.Unmarshal([]byte(e.Value), &m) == nil {
-			listed = append(listed, m)
-		}
-	}
 	settled := old.Epoch > 0 && time.Since(since) >= f.time
 	next, changed := nextMembers(old, listed, v, settled)
 	if !changed {
 		return nil
 	}
+	next.Doubted = f.stillDoubted(ctx, old, next)
 	text, err := json.Marshal(next)
 	if err != nil {
 		return errors.Wrap(err, "daemon: members")
@@ -321,6 +322,109 @@
 	}
 }
 
+// stillDoubted returns the hosts that left under old or before, do not stand
+// in next and are not known to have ended.
+func (f *fleet) stillDoubted(ctx context.Context, old, next platform.Members) []string {
+	var out []string
+	for _, id := range old.Doubted {
+		if find(next.Hosts, id) < 0 {
+			out = append(out, id)
+		}
+	}
+	for _, m := range next.Left {
+		out = append(out, m.ID)
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	ended := f.ended(ctx, out)
+	return slices.DeleteFunc(out, func(id string) bool { return ended[id] })
+}
+
+// ended returns those of the hosts that the host list has left out for longer
+// than it lags.
+func (f *fleet) ended(ctx context.Context, ids []string) map[string]bool {
+	out := map[string]bool{}
+	if f.list == nil {
+		return out
+	}
+	listed, err := f.list.Hosts(ctx)
+	if err != nil {
+		return out
+	}
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.absent == nil {
+		f.absent = map[string]time.Time{}
+	}
+	for _, id := range ids {
+		switch since, ok := f.absent[id]; {
+		case listed[id] != "":
+			delete(f.absent, id)
+		case !ok:
+			f.absent[id] = now
+		default:
+			out[id] = now.Sub(since) >= f.lag
+		}
+	}
+	return out
+}
+
+// ack says in the store that the host uses no target that the epoch gives to
+// others.
+func (f *fleet) ack(ctx context.Context, epoch int) error {
+	f.mu.Lock()
+	if epoch <= f.self.Epoch {
+		f.mu.Unlock()
+		return nil
+	}
+	self := f.self
+	self.Epoch = epoch
+	f.mu.Unlock()
+	if self.Lease == "" {
+		return nil
+	}
+	err := f.write(ctx, self)
+	if err == nil {
+		f.mu.Lock()
+		f.self.Epoch = max(f.self.Epoch, epoch)
+		f.mu.Unlock()
+	}
+	return f.note(err)
+}
+
+// surveyed asks the store for the epoch in force and what the hosts have
+// acknowledged.
+func (f *fleet) surveyed(ctx context.Context) (owner.Survey, error) {
+	s := owner.Survey{Asked: time.Now(), Acked: map[string]int{}}
+	if err := f.note(f.read(ctx)); err != nil {
+		return s, err
+	}
+	s.Epoch = f.present().Epoch
+	listed, err := f.listed(ctx)
+	for _, m := range listed {
+		s.Acked[m.ID] = m.Epoch
+	}
+	return s, err
+}
+
+// listed returns the hosts that have a lease.
+func (f *fleet) listed(ctx context.Context) ([]platform.Member, error) {
+	entries, err := f.store.List(ctx, hostPrefix)
+	if err != nil {
+		return nil, f.note(err)
+	}
+	var out []platform.Member
+	for _, e := range entries {
+		var m platform.Member
+		if json.Unmarshal([]byte(e.Value), &m) == nil {
+			out = append(out, m)
+		}
+	}
+	return out, nil
+}
+
 // leave marks the host as leaving in the store.
 func (f *fleet) leave(ctx context.Context) error {
 	f.mu.Lock()
--- a/internal/daemon/ownership.go
+++ b/internal/daemon/ownership.go
@@ -36,6 +36,7 @@
 	shares  map[string]target.Share
 	view    *settings.View
 	early   []peer.Release
+	cleared int
 	drains  sync.WaitGroup
 }
 
@@ -51,14 +52,23 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	lost := o.ledger.Adopt(now, d.epoch, o.proven(now))
+	var drained sync.WaitGroup
 	for _, h := range lost {
 		k := o.keepers[h.Target]
 		delete(o.keepers, h.Target)
 		delete(o.shares, h.Target)
 		if k != nil {
-			o.drains.Go(func() { o.drain(k, h, d.epoch.Number) })
+			drained.Add(1)
+			o.drains.Go(func() {
+				defer drained.Done()
+				o.drain(k, h, d.epoch.Number)
+			})
 		}
 	}
+	o.drains.Go(func() {
+		drained.Wait()
+		o.clear(d.epoch.Number)
+	})
 	o.start()
 	early := o.early
 	o.early = nil
@@ -158,7 +168,7 @@
 func (o *ownership) share(now time.Time) {
 	proven := o.proven(now)
 	for path, k := range o.keepers {
-		s := o.ledger.Share(now, path, proven)
+		s := o.ledger.Share(path, proven)
 		if b := o.view.Target(path); b == nil || !o.view.Takes(b) {
 			s = target.ShareNone
 		}
@@ -179,6 +189,49 @@
 	}
 }
 
+// clear notes that the host uses nothing that the epoch gives to others.
+func (o *ownership) clear(epoch int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cleared = max(o.cleared, epoch)
+}
+
+// survey is the duty that says which epochs the host has adopted, and looks at
+// what others have said while it waits for them.
+func (o *ownership) survey(ctx context.Context, f *fleet) {
+	for ctx.Err() == nil {
+		pause(ctx, storeRetry)
+		o.mu.Lock()
+		cleared, waiting := o.cleared, o.ledger.Waiting(time.Now())
+		o.mu.Unlock()
+		_ = f.ack(ctx, cleared)
+		if !waiting {
+			continue
+		}
+		if s, err := f.surveyed(ctx); err == nil {
+			o.surveyed(ctx, f, s)
+		}
+	}
+}
+
+func (o *ownership) surveyed(ctx context.Context, f *fleet, s owner.Survey) {
+	o.mu.Lock()
+	o.ledger.Surveyed(s, o.proven(time.Now()))
+	doubted := o.ledger.Doubted(nil)
+	o.mu.Unlock()
+	if len(doubted) == 0 {
+		return
+	}
+	ended := f.ended(ctx, doubted)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, yes := range ended {
+		if yes {
+			o.ledger.Gone(id)
+		}
+	}
+}
+
 // ask hands the parts of a query to the keepers of their targets.
 func (o *ownership) ask(from teller, a *peer.Ask) {
 	deadline := time.Now().Add(time.Duration(a.BudgetUs) * time.Microsecond)
@@ -214,6 +267,19 @@
 	}
 }
 
+// usable returns the number of targets of which the host may use something.
+func (o *ownership) usable() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := 0
+	for _, s := range o.shares {
+		if s != target.ShareNone {
+			n++
+		}
+	}
+	return n
+}
+
 // statuses returns what is known of each target owned.
 func (o *ownership) statuses() []targetStatus {
 	o.mu.Lock()
--- a/internal/schema/platform/platform.gen.go
+++ b/internal/schema/platform/platform.gen.go
@@ -58,6 +58,10 @@
 	// Data centre of the host.
 	DataCentre string `json:"data-centre"`
 
+	// Last epoch of which the host has said that it uses no target that the epoch
+	// gives to others.
+	Epoch int `json:"epoch"`
+
 	// Name of the host.
 	ID string `json:"id"`
 
@@ -79,6 +83,9 @@
 	// Whether no lease of the epoch before was left.
 	Clean *bool `json:"clean,omitempty,omitzero"`
 
+	// Hosts that left earlier and are not known to have ended.
+	Doubted []string `json:"doubted,omitempty,omitzero"`
+
 	// Number that rises with every change.
 	Epoch int `json:"epoch"`
 
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -157,12 +157,14 @@
 }
 
 func (t *Trial) ready() bool {
+	usable := 0
 	for _, d := range t.daemons {
 		if !d.Ready() || d.Knows() < len(t.deployment.Paths()) {
 			return false
 		}
+		usable += d.Usable()
 	}
-	return true
+	return usable == len(t.deployment.Paths())
 }
 
 // Store returns the stand-in for the platform's store.
--- a/owner/ledger.go
+++ b/owner/ledger.go
@@ -16,12 +16,13 @@
 	// Before is the owner of each target under the epoch before, nil when it
 	// is not known.
 	Before map[string]string
-	// Left names the hosts of the epoch before that are not in this one, and
-	// Lapsed those of them whose leases were gone when this one was written.
-	Left, Lapsed []string
-	// Renewed names hosts that have a new lease and thus hold nothing from
-	// before.
-	Renewed []string
+	// Suspects names the hosts that may have owned targets under earlier
+	// epochs: those of this epoch and those that left and are not known to
+	// have ended.
+	Suspects []string
+	// Lapsed names hosts of the epoch before whose leases were gone when this
+	// one was written.
+	Lapsed []string
 	// Settled is set when the epoch before had been in force for a lease time,
 	// so that every proven owner had heard of it.
 	Settled bool
@@ -29,32 +30,46 @@
 	Clean bool
 }
 
+// Survey is what the store says of the hosts.
+type Survey struct {
+	// Asked is when the survey began.
+	Asked time.Time
+	// Epoch is the number of the epoch in force.
+	Epoch int
+	// Acked is, for each host with a lease, the last epoch of which it has said
+	// that it uses no target that the epoch gives to others.
+	Acked map[string]int
+}
+
 // tenure is how a host came by a target.
 type tenure struct {
-	// since is when the host learned of the epoch under which it is the owner.
-	since time.Time
-	// proven is set once no other host can prove that it is the owner.
+	// epoch is the one under which the host became the owner, and ready when
+	// no other host can be proven any more, if the epoch is then in force.
+	epoch int
+	ready time.Time
+	// proven is set once it is known that no other host can be proven.
 	proven bool
-	// doubts names hosts that may still use half of the target, because
-	// neither a release nor their end is known.
+	// doubts names hosts that may still use half of the target, because they
+	// have not said that they do not.
 	doubts map[string]bool
 }
 
 // Ledger is what a host knows of the targets it owns. Reset it before use. It
 // is not safe for use by several goroutines.
 type Ledger struct {
-	host    string
-	lease   time.Duration
-	epoch   int
-	tenures map[string]*tenure
+	host     string
+	lease    time.Duration
+	epoch    int
+	suspects []string
+	tenures  map[string]*tenure
 }
 
 // Handover is a target that a host no longer owns.
 type Handover struct {
 	// Target is the path of the target and To its next owner, "" for none.
 	Target, To string
-	// Proven is set when the host could prove until now that it was the owner
-	// under the epoch before.
+	// Proven is set when the host could prove until now that it was the only
+	// owner under the epoch before.
 	Proven bool
 }
 
@@ -71,32 +86,35 @@
 func (l *Ledger) Owns(path string) bool { return l.tenures[path] != nil }
 
 // Adopt puts an epoch in force and returns the targets that go to other hosts.
-// An epoch that is not higher than the one in force changes nothing. A host
-// that missed an epoch and cannot prove its lease starts anew with what it
-// owns.
+// An epoch that is not higher than the one in force changes nothing.
 func (l *Ledger) Adopt(now time.Time, e Epoch, leaseProven bool) []Handover {
 	if e.Number <= l.epoch {
 		return nil
 	}
 	consecutive := e.Number == l.epoch+1
 	l.epoch = e.Number
-	lost := l.lose(now, e, consecutive && leaseProven)
-	if !consecutive && !leaseProven {
-		clear(l.tenures)
+	l.suspects = e.Suspects
+	lost := l.lose(e, consecutive && leaseProven)
+	if !consecutive {
+		l.doubtMissed(leaseProven)
 	}
-	for path, host := range e.Owners {
-		if host == l.host && l.tenures[path] == nil {
-			l.tenures[path] = l.gain(now, e, path)
+	l.Complete(now, e)
+	return lost
+}
+
+// doubtMissed gives up, after an epoch was missed, the targets that another
+// host may have owned under it. A host whose lease was proven all the time kept
+// those of which it was the only proven owner.
+func (l *Ledger) doubtMissed(leaseProven bool) {
+	for path, t := range l.tenures {
+		if !leaseProven || !t.proven || len(t.doubts) > 0 {
+			delete(l.tenures, path)
 		}
 	}
-	for _, host := range e.Renewed {
-		l.Gone(host)
-	}
-	return lost
 }
 
-// Complete takes the division of the epoch in force again, now that its targets
-// are known. The host gains those it does not own yet.
+// Complete takes the division of the epoch in force again, when its targets
+// became known later. The host gains those that it does not own yet.
 func (l *Ledger) Complete(now time.Time, e Epoch) {
 	if e.Number != l.epoch {
 		return
@@ -108,7 +126,7 @@
 	}
 }
 
-func (l *Ledger) lose(now time.Time, e Epoch, provable bool) []Handover {
+func (l *Ledger) lose(e Epoch, provable bool) []Handover {
 	var lost []Handover
 	for path, t := range l.tenures {
 		to := e.Owners[path]
@@ -116,57 +134,73 @@
 			continue
 		}
 		delete(l.tenures, path)
-		lost = append(lost, Handover{path, to, provable && l.proven(now, t)})
+		lost = append(lost, Handover{path, to, provable && t.proven && len(t.doubts) == 0})
 	}
 	return lost
 }
 
 func (l *Ledger) gain(now time.Time, e Epoch, path string) *tenure {
-	t := &tenure{since: now, doubts: map[string]bool{}}
+	t := &tenure{epoch: e.Number, ready: now.Add(l.lease)}
 	from, known := e.Before[path]
-	switch {
-	case known:
-		t.doubts[from] = true
-		t.proven = e.Clean || e.Settled && slices.Contains(e.Lapsed, from)
-	default:
-		for _, host := range e.Left {
-			t.doubts[host] = true
-		}
-		t.proven = e.Clean
+	if e.Clean || known && e.Settled && slices.Contains(e.Lapsed, from) {
+		t.ready = now
 	}
-	delete(t.doubts, l.host)
 	return t
 }
 
-func (l *Ledger) proven(now time.Time, t *tenure) bool {
-	if !t.proven && !now.Before(t.since.Add(l.lease)) {
-		t.proven = true
-	}
-	return t.proven
-}
-
 // Released takes the word of the proven owner of the epoch before that it no
 // longer uses a target, given when it learned of the epoch. It reports whether
 // the target was waited for.
 func (l *Ledger) Released(epoch int, path string) bool {
 	t := l.tenures[path]
-	if t == nil || epoch != l.epoch || t.proven && len(t.doubts) == 0 {
+	if t == nil || epoch != l.epoch || t.epoch != epoch || t.proven && len(t.doubts) == 0 {
 		return false
 	}
 	t.proven = true
-	clear(t.doubts)
+	t.doubts = nil
 	return true
 }
 
-// Gone notes that the run of the host that could have owned targets has surely
-// ended.
+// Waiting reports whether a survey would tell something at now.
+func (l *Ledger) Waiting(now time.Time) bool {
+	for _, t := range l.tenures {
+		if t.proven && len(t.doubts) > 0 || !t.proven && !now.Before(t.ready) {
+			return true
+		}
+	}
+	return false
+}
+
+// Surveyed takes a survey. Targets become proven by one that was made after
+// every earlier lease had lapsed, shows that the epoch is still in force and
+// came while the host's own lease was proven.
+func (l *Ledger) Surveyed(s Survey, leaseProven bool) {
+	for _, t := range l.tenures {
+		if !t.proven && leaseProven && s.Epoch == l.epoch && !s.Asked.Before(t.ready) {
+			t.proven = true
+			t.doubts = map[string]bool{}
+			for _, host := range l.suspects {
+				t.doubts[host] = host != l.host
+			}
+			delete(t.doubts, l.host)
+		}
+		for host := range t.doubts {
+			if s.Acked[host] >= t.epoch {
+				delete(t.doubts, host)
+			}
+		}
+	}
+}
+
+// Gone notes that every run of the host that could have owned targets has
+// surely ended.
 func (l *Ledger) Gone(host string) {
 	for _, t := range l.tenures {
 		delete(t.doubts, host)
 	}
 }
 
-// Doubted appends to dst the hosts whose end is waited for.
+// Doubted appends to dst the hosts that may still use half of a target.
 func (l *Ledger) Doubted(dst []string) []string {
 	seen := map[string]bool{}
 	for _, t := range l.tenures {
@@ -180,19 +214,20 @@
 	return dst
 }
 
-// Share returns how much of a target the host may use at now.
-func (l *Ledger) Share(now time.Time, path string, leaseProven bool) target.Share {
+// Share returns how much of a target the host may use.
+func (l *Ledger) Share(path string, leaseProven bool) target.Share {
 	t := l.tenures[path]
-	if t == nil || !l.proven(now, t) {
-		return target.ShareNone
-	}
 	switch {
-	case !leaseProven:
-		return target.ShareHalf
-	case len(t.doubts) > 0:
+	case t == nil || !t.proven:
+		return target.ShareNone
+	case leaseProven && len(t.doubts) == 0:
+		return target.ShareFull
+	case leaseProven:
 		return target.ShareRest
+	case len(t.doubts) == 0:
+		return target.ShareHalf
 	default:
-		return target.ShareFull
+		return target.ShareNone
 	}
 }
 
--- a/store/client.go
+++ b/store/client.go
@@ -95,6 +95,26 @@
 	return c.call(ctx, callTimeout, http.MethodDelete, "/v1/leases/"+id, nil, nil)
 }
 
+// HostList is the platform's list of hosts. NewHostList makes one. It shows
+// which hosts are live and which are leaving, with a lag.
+type HostList struct {
+	client *Client
+}
+
+// NewHostList returns the host list at the IP address and port.
+func NewHostList(address string) *HostList { return &HostList{NewClient(address)} }
+
+// Hosts returns the state of each host listed, "live" or "leaving", by name.
+func (l *HostList) Hosts(ctx context.Context) (map[string]string, error) {
+	var listed []platform.Listed
+	err := l.client.call(ctx, callTimeout, http.MethodGet, "/v1/hosts", nil, &listed)
+	out := make(map[string]string, len(listed))
+	for _, h := range listed {
+		out[h.ID] = h.State
+	}
+	return out, err
+}
+
 func entry(e platform.Entry) Entry { return Entry{e.Key, e.Value, e.Revision} }
 
 // call sends a request and decodes the answer into out, also that of a
