--- /dev/null
+++ b/host/membership.go
@@ -0,0 +1,252 @@
+package host
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Times and sizes of a Membership.
+const (
+	// Period is the time between two probes that a host makes.
+	Period = time.Second
+	// Timeout is how long the answer to a probe may take.
+	Timeout = 200 * time.Millisecond
+	// Suspicion is how long a suspected host has to refute.
+	Suspicion = 3 * time.Second
+	// Helpers is the number of hosts asked to probe one that did not answer.
+	Helpers = 2
+	// MostNews is the number of news items that go with a message.
+	MostNews = 6
+	// repeatFactor is how often an item is passed on, in doublings of the
+	// number of hosts.
+	repeatFactor = 2
+)
+
+// State is what is thought of a host.
+type State int
+
+// States of a host.
+const (
+	Alive State = iota
+	Suspect
+	Leaving
+	Dead
+)
+
+var stateNames = [...]string{"alive", "suspect", "leaving", "dead"}
+
+// String returns the name of the state.
+func (s State) String() string { return stateNames[s] }
+
+// ParseState returns the state with the name; a name that is not known is
+// Alive.
+func ParseState(name string) State {
+	return State(max(0, slices.Index(stateNames[:], name)))
+}
+
+// News is what is said of a host.
+type News struct {
+	ID string
+	// Incarnation is the run of the host, and Version rises when it refutes a
+	// suspicion.
+	Incarnation string
+	Version     int
+	State       State
+}
+
+type peer struct {
+	News
+	since  time.Time
+	repeat int
+}
+
+// Membership is what a host thinks of the others. Reset it before use. It is
+// not safe for use by several goroutines.
+type Membership struct {
+	self   News
+	peers  map[string]*peer
+	order  []string
+	turn   int
+	next   time.Time
+	random *rand.Rand
+	heard  time.Time
+}
+
+// Reset makes the membership that of a host which knows no other.
+func (m *Membership) Reset(now time.Time, id, incarnation string, random *rand.Rand) {
+	*m = Membership{
+		self: News{ID: id, Incarnation: incarnation}, peers: map[string]*peer{},
+		next: now, random: random, heard: now,
+	}
+}
+
+// Join takes the hosts of the record of members: those that are new are alive,
+// those that are not in it are forgotten.
+func (m *Membership) Join(now time.Time, incarnations map[string]string) {
+	for id, incarnation := range incarnations {
+		if p := m.peers[id]; id != m.self.ID && (p == nil || p.Incarnation != incarnation) {
+			m.peers[id] = &peer{News: News{ID: id, Incarnation: incarnation}, since: now}
+		}
+	}
+	for id := range m.peers {
+		if _, ok := incarnations[id]; !ok {
+			delete(m.peers, id)
+		}
+	}
+	m.shuffle()
+}
+
+func (m *Membership) shuffle() {
+	m.order = m.order[:0]
+	for id := range m.peers {
+		m.order = append(m.order, id)
+	}
+	slices.Sort(m.order)
+	m.random.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
+	m.turn = 0
+}
+
+// Next returns when Tick is to be called again.
+func (m *Membership) Next() time.Time { return m.next }
+
+// Tick returns the host to probe now, or "". Each host has its turn once in
+// every round over all, in random order.
+func (m *Membership) Tick(now time.Time) string {
+	m.age(now)
+	if now.Before(m.next) || len(m.order) == 0 {
+		m.next = later(m.next, now)
+		return ""
+	}
+	m.next = now.Add(Period/2 + time.Duration(m.random.Int64N(int64(Period))))
+	if m.turn >= len(m.order) {
+		m.shuffle()
+	}
+	id := m.order[m.turn]
+	m.turn++
+	return id
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b.Add(Period)
+}
+
+// age takes suspects that did not refute for dead.
+func (m *Membership) age(now time.Time) {
+	for _, p := range m.peers {
+		if p.State == Suspect && now.Sub(p.since) >= Suspicion {
+			m.set(now, p, Dead)
+		}
+	}
+}
+
+func (m *Membership) set(now time.Time, p *peer, s State) {
+	p.State = s
+	p.since = now
+	p.repeat = 0
+}
+
+// Random appends to dst at most n different hosts that are thought alive, but
+// not the one to be left out.
+func (m *Membership) Random(dst []string, n int, except string) []string {
+	for _, i := range m.random.Perm(len(m.order)) {
+		if n == 0 {
+			break
+		}
+		p := m.peers[m.order[i]]
+		if p != nil && p.State == Alive && p.ID != except {
+			dst = append(dst, p.ID)
+			n--
+		}
+	}
+	return dst
+}
+
+// News appends to dst what goes with the next message: the sender's own state,
+// then the items that were passed on least often.
+func (m *Membership) News(dst []News) []News {
+	dst = append(dst, m.self)
+	limit := repeatFactor * bits.Len(uint(len(m.peers)+1))
+	var fresh []*peer
+	for _, p := range m.peers {
+		if p.repeat < limit && (p.State != Alive || p.Version > 0) {
+			fresh = append(fresh, p)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b *peer) int { return a.repeat - b.repeat })
+	for _, p := range fresh[:min(len(fresh), MostNews)] {
+		p.repeat++
+		dst = append(dst, p.News)
+	}
+	return dst
+}
+
+// Hear takes news that came with a message from a host, which is thereby known
+// to be alive.
+func (m *Membership) Hear(now time.Time, from string, news []News) {
+	m.heard = now
+	if p := m.peers[from]; p != nil && (p.State == Suspect || p.State == Dead) {
+		m.set(now, p, Alive)
+		p.Version++
+	}
+	for _, n := range news {
+		m.take(now, n)
+	}
+}
+
+// take believes news of a newer version, and worse news of the same version.
+func (m *Membership) take(now time.Time, n News) {
+	if n.ID == m.self.ID {
+		m.refute(n)
+		return
+	}
+	p := m.peers[n.ID]
+	if p == nil || p.Incarnation != n.Incarnation {
+		return
+	}
+	if n.Version > p.Version || n.Version == p.Version && n.State > p.State {
+		p.Version = n.Version
+		m.set(now, p, n.State)
+	}
+}
+
+// refute answers a suspicion of this host with a higher version.
+func (m *Membership) refute(n News) {
+	if n.Incarnation == m.self.Incarnation && n.Version >= m.self.Version && (n.State == Suspect || n.State == Dead) {
+		m.self.Version = n.Version + 1
+	}
+}
+
+// Leave marks this host as leaving.
+func (m *Membership) Leave() {
+	m.self.State = Leaving
+	m.self.Version++
+}
+
+// Failed notes that a host answered neither a probe nor those of the helpers.
+func (m *Membership) Failed(now time.Time, id string) {
+	if p := m.peers[id]; p != nil && (p.State == Alive || p.State == Leaving) {
+		m.set(now, p, Suspect)
+	}
+}
+
+// State returns what is thought of a host. A host that is not known is Dead.
+func (m *Membership) State(id string) State {
+	if id == m.self.ID {
+		return m.self.State
+	}
+	if p := m.peers[id]; p != nil {
+		return p.State
+	}
+	return Dead
+}
+
+// Heard returns when a message of any other host came last.
+func (m *Membership) Heard() time.Time { return m.heard }
+
+// Len returns the number of other hosts that are known.
+func (m *Membership) Len() int { return len(m.peers) }
--- /dev/null
+++ b/internal/command/operate.go
@@ -0,0 +1,299 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os/user"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"fescuerill/caller"
+	"fescuerill/internal/daemon"
+	"fescuerill/internal/schema/platform"
+	"fescuerill/settings"
+	"fescuerill/store"
+)
+
+// Times of the operators' commands.
+const (
+	operateTime = 30 * time.Second
+	inForcePoll = 50 * time.Millisecond
+)
+
+// operator is what the operators' commands share.
+type operator struct {
+	store string
+	wait  time.Duration
+	base  int
+}
+
+func (o *operator) flags(c *cobra.Command) {
+	c.Flags().StringVar(&o.store, "store", "", "IP address and port of the platform's store")
+	_ = c.MarkFlagRequired("store")
+}
+
+// changeFlags adds the flags of commands that change the settings.
+func (o *operator) changeFlags(c *cobra.Command) {
+	o.flags(c)
+	c.Flags().DurationVar(&o.wait, "wait", 10*time.Second, "how long to wait until the change is in force everywhere")
+	c.Flags().IntVar(&o.base, "base", -1, "revision that the change was made from; the one in force when negative")
+}
+
+// run calls f with a client of the store.
+func (o *operator) run(f func(ctx context.Context, s *store.Client) error) error {
+	s := store.NewClient(o.store)
+	defer s.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), operateTime)
+	defer cancel()
+	return f(ctx, s)
+}
+
+// present returns the tree in force, nil when there is none, and its revision.
+func present(ctx context.Context, s store.Service) (*settings.Tree, int, error) {
+	m, _, err := settings.Current(ctx, s)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	t, err := settings.Fetch(ctx, s, m, map[string]string{})
+	return t, m.Revision, err
+}
+
+// change makes a new tree of the one in force, applies it and waits until it is
+// in force on all live hosts.
+func (o *operator) change(w io.Writer, edit func(old *settings.Tree) (*settings.Tree, error)) error {
+	return o.run(func(ctx context.Context, s *store.Client) error {
+		old, revision, err := present(ctx, s)
+		if err != nil {
+			return err
+		}
+		next, err := edit(old)
+		if err != nil {
+			return err
+		}
+		differences, err := next.Compare(old)
+		if err != nil {
+			return err
+		}
+		if len(differences) == 0 {
+			fmt.Fprintf(w, "no difference from revision %d\n", revision)
+			return nil
+		}
+		printDifferences(w, differences)
+		if o.base >= 0 {
+			revision = o.base
+		}
+		return o.apply(ctx, w, s, next, revision)
+	})
+}
+
+func printDifferences(w io.Writer, differences []settings.Difference) {
+	for _, d := range differences {
+		if d.Old != "" {
+			fmt.Fprintf(w, "- %s = %s\n", d.Key, d.Old)
+		}
+		if d.New != "" {
+			fmt.Fprintf(w, "+ %s = %s\n", d.Key, d.New)
+		}
+	}
+}
+
+func (o *operator) apply(ctx context.Context, w io.Writer, s *store.Client, t *settings.Tree, base int) error {
+	began := time.Now()
+	m, err := settings.Apply(ctx, s, t, settings.Change{ID: rand.Text(), Author: author(), Base: base})
+	switch {
+	case errors.Is(err, settings.ErrConflict):
+		fmt.Fprintf(w, "conflict: revision %d is in force, made by %s (change %s); yours was made from revision %d and is not accepted\n", m.Revision, text(m.Author), m.ChangeID, base)
+		return err
+	case errors.Is(err, settings.ErrUnknown):
+		fmt.Fprintf(w, "unknown: look at 'settings history' for change %s when the store answers\n", m.ChangeID)
+		return err
+	case err != nil:
+		return errors.Wrap(err, "not accepted")
+	}
+	fmt.Fprintf(w, "accepted as revision %d\n", m.Revision)
+	return awaitInForce(ctx, w, s, m.Revision, began, o.wait)
+}
+
+func author() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+func text(s *string) string {
+	if s == nil {
+		return "unknown"
+	}
+	return *s
+}
+
+// awaitInForce waits until all hosts with a lease have the revision in force.
+func awaitInForce(ctx context.Context, w io.Writer, s store.Service, revision int, began time.Time, wait time.Duration) error {
+	for {
+		hosts, behind, err := revisions(ctx, s, revision)
+		if err == nil && len(behind) == 0 {
+			fmt.Fprintf(w, "in force on %d of %d hosts after %s\n", hosts, hosts, time.Since(began).Round(time.Millisecond))
+			return nil
+		}
+		if time.Since(began) > wait {
+			fmt.Fprintf(w, "in force on %d of %d hosts after %s; behind or silent: %v\n", hosts-len(behind), hosts, wait, behind)
+			return errors.New("accepted, but not in force everywhere in time")
+		}
+		time.Sleep(inForcePoll)
+	}
+}
+
+// revisions returns the number of hosts with a lease and those of them that do
+// not have the revision in force.
+func revisions(ctx context.Context, s store.Service, revision int) (hosts int, behind []string, err error) {
+	all, err := statuses(ctx, s)
+	for id, status := range all {
+		if status == nil || status.Revision < revision {
+			behind = append(behind, id)
+		}
+	}
+	return len(all), behind, err
+}
+
+// statuses asks every host with a lease for its status; nil stands for a host
+// that does not answer.
+func statuses(ctx context.Context, s store.Service) (map[string]*daemon.Status, error) {
+	entries, err := s.List(ctx, daemon.HostPrefix)
+	if err != nil {
+		return nil, err
+	}
+	out := map[string]*daemon.Status{}
+	for _, e := range entries {
+		var m platform.Member
+		if err := json.Unmarshal([]byte(e.Value), &m); err != nil {
+			return nil, errors.Wrap(err, e.Key)
+		}
+		out[m.ID] = statusOf(ctx, m.CallerAddress)
+	}
+	return out, nil
+}
+
+func statusOf(ctx context.Context, address string) *daemon.Status {
+	client := caller.NewClient("", address)
+	defer client.Close()
+	limited, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	var status daemon.Status
+	if client.Fetch(limited, address, "/v1/status", &status) != nil {
+		return nil
+	}
+	return &status
+}
+
+func newSettingsApply() *cobra.Command {
+	var o operator
+	c := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Make a settings file the settings in force",
+		Long: `Check a settings file, show how it differs from the settings in force, and make
+it the settings in force unless another change was accepted first. The answer
+is accepted, conflict or unknown. After acceptance the command waits and says
+on how many live hosts the change is in force.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return o.change(c.OutOrStdout(), func(*settings.Tree) (*settings.Tree, error) { return readTree(args[0]) })
+		},
+	}
+	o.changeFlags(c)
+	return c
+}
+
+func newSettingsGet() *cobra.Command {
+	var o operator
+	c := &cobra.Command{
+		Use:   "get",
+		Short: "Print the settings in force",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return o.run(func(ctx context.Context, s *store.Client) error {
+				t, revision, err := present(ctx, s)
+				if err != nil || t == nil {
+					return err
+				}
+				text, err := t.Text()
+				fmt.Fprintf(c.OutOrStdout(), "# revision %d\n%s", revision, text)
+				return err
+			})
+		},
+	}
+	o.flags(c)
+	return c
+}
+
+func newSettingsHistory() *cobra.Command {
+	var o operator
+	c := &cobra.Command{
+		Use:   "history",
+		Short: "List the accepted changes that the store still holds",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return o.run(func(ctx context.Context, s *store.Client) error {
+				history, err := settings.History(ctx, s)
+				for _, m := range history {
+					fmt.Fprintf(c.OutOrStdout(), "%6d  %s  %-12s %s\n", m.Revision, text(m.Time), text(m.Author), m.ChangeID)
+				}
+				return err
+			})
+		},
+	}
+	o.flags(c)
+	return c
+}
+
+func newDataCentre() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "datacentre",
+		Short: "Take a data centre out of service and back",
+	}
+	c.AddCommand(
+		newSwitch("out NAME", "Give the data centre no new work", func(t *settings.Tree, name string) (*settings.Tree, error) { return t.WithDataCentre(name, true) }),
+		newSwitch("in NAME", "Take the data centre back; its targets start cold", func(t *settings.Tree, name string) (*settings.Tree, error) { return t.WithDataCentre(name, false) }),
+	)
+	return c
+}
+
+func newTarget() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "target",
+		Short: "Let a target leave and return",
+	}
+	c.AddCommand(
+		newSwitch("leave PATH", "Give the target no new work", func(t *settings.Tree, path string) (*settings.Tree, error) { return t.WithTarget(path, true) }),
+		newSwitch("return PATH", "Take the target back; it starts cold", func(t *settings.Tree, path string) (*settings.Tree, error) { return t.WithTarget(path, false) }),
+	)
+	return c
+}
+
+// newSwitch returns a command that changes one thing in the settings in force.
+func newSwitch(use, short string, edit func(t *settings.Tree, name string) (*settings.Tree, error)) *cobra.Command {
+	var o operator
+	c := &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return o.change(c.OutOrStdout(), func(old *settings.Tree) (*settings.Tree, error) {
+				if old == nil {
+					return nil, errors.New("no settings are in force")
+				}
+				return edit(old, args[0])
+			})
+		},
+	}
+	o.changeFlags(c)
+	return c
+}
--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -13,9 +13,9 @@
 func newSettings() *cobra.Command {
 	c := &cobra.Command{
 		Use:   "settings",
-		Short: "Check and show the settings of a deployment",
+		Short: "Check, show and change the settings of a deployment",
 	}
-	c.AddCommand(newSettingsCheck(), newSettingsShow())
+	c.AddCommand(newSettingsCheck(), newSettingsShow(), newSettingsApply(), newSettingsGet(), newSettingsHistory())
 	return c
 }
 
--- a/internal/daemon/actions.go
+++ b/internal/daemon/actions.go
@@ -64,6 +64,9 @@
 	if v == nil || v.Service(q.Service) == nil {
 		return a.unserved(v)
 	}
+	if a.daemon.gossip.isolated(time.Now()) {
+		return caller.Outcome{}, notRun("isolated", settings.DefaultRetryAfter)
+	}
 	a.mu.Lock()
 	state, result, done, err := a.memory.Begin(time.Now(), q.IdempotencyKey)
 	a.mu.Unlock()
--- a/internal/daemon/api.go
+++ b/internal/daemon/api.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"fescuerill/host"
 	"fescuerill/internal/invariant"
 	"fescuerill/internal/schema/caller"
 	"fescuerill/internal/schema/platform"
@@ -172,8 +173,8 @@
 	if v == nil || division == nil {
 		return out
 	}
-	for _, h := range division.members.Hosts {
-		if v.DataCentreOut(h.DataCentre) || h.ID == d.ID() && d.leaving.Load() {
+	for _, h := range division.record.hosts {
+		if v.DataCentreOut(h.DataCentre) || d.gossip.state(h.ID) != host.Alive {
 			continue
 		}
 		out = append(out, caller.Address{ID: h.ID, Address: h.CallerAddress, Incarnation: h.Incarnation, DataCentre: h.DataCentre})
@@ -240,7 +241,7 @@
 func (d *Daemon) Status() Status {
 	s := Status{
 		Host: d.ID(), Incarnation: d.incarnation, Proven: d.fleet.proven(time.Now()),
-		StoreOut: d.fleet.storeFailing(), Leaving: d.leaving.Load(), Hosts: d.fleet.present().Hosts,
+		StoreOut: d.fleet.storeFailing(), Leaving: d.leaving.Load(), Hosts: d.fleet.present().hosts,
 		Epoch: d.fleet.present().Epoch, Targets: []TargetStatus{},
 	}
 	if v := d.entry.view.Load(); v != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
-	"crypto/rand"
+	crypto "crypto/rand"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +35,9 @@
 	Store store.Service
 }
 
+// watchAgain is how often a host looks whether it is to watch the store.
+const watchAgain = time.Second
+
 // Daemon is one host of the system. Start makes one.
 type Daemon struct {
 	node        *settings.Node
@@ -49,6 +54,7 @@
 	ownership *ownership
 	entry     *entry
 	actions   *actions
+	gossip    *gossip
 	keeper    *settingsKeeper
 	division  atomic.Pointer[division]
 
@@ -71,7 +77,7 @@
 		o.Log = slog.New(slog.DiscardHandler)
 	}
 	d := &Daemon{
-		node: n, options: o, log: o.Log.With("host", n.ID()), incarnation: rand.Text(),
+		node: n, options: o, log: o.Log.With("host", n.ID()), incarnation: crypto.Text(),
 		began: time.Now(), tally: &tally.Tally{}, links: map[string]*remote{}, store: o.Store,
 	}
 	callers, err := listen(n.CallerAddress())
@@ -119,6 +125,8 @@
 	d.ownership.proven = d.fleet.proven
 	d.ownership.release = d.release
 	d.keeper = newSettingsKeeper(d)
+	d.gossip = newGossip(d)
+	d.entry.isolated = d.gossip.isolated
 }
 
 // start starts one goroutine for each duty.
@@ -126,23 +134,41 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	for _, duty := range []func(context.Context){
-		d.fleet.hold, d.fleet.watch, d.fleet.survey, d.ownership.run, d.keeper.watch, d.discover,
+		d.fleet.hold, d.fleet.survey, d.ownership.run, d.discover,
+		d.gossip.probe, d.gossip.spread, d.gossip.catchUp, d.bootstrap,
+		func(ctx context.Context) { d.watch(ctx, "members", d.fleet.watchMembers) },
+		func(ctx context.Context) { d.watch(ctx, "settings", d.keeper.watch) },
 		func(ctx context.Context) { d.ownership.survey(ctx, d.fleet) },
 	} {
 		d.duties.Go(func() { duty(ctx) })
 	}
 }
 
+// watch is the duty that watches one key of the store, on those hosts that do.
+func (d *Daemon) watch(ctx context.Context, name string, wait func(context.Context) error) {
+	for ctx.Err() == nil {
+		if !d.gossip.watching() {
+			pause(ctx, watchAgain)
+			continue
+		}
+		if err := wait(ctx); err != nil {
+			d.tally.Add("watch-failed-"+name, 1)
+			pause(ctx, rand.N(2*storeRetry))
+		}
+	}
+}
+
 // adopt puts a record of members in force.
-func (d *Daemon) adopt(m platform.Members, asked time.Time) {
+func (d *Daemon) adopt(r record, asked time.Time) {
 	d.dividing.Lock()
 	defer d.dividing.Unlock()
-	division := divide(m, d.division.Load(), d.keeper.views())
+	division := divide(r, d.division.Load(), d.keeper.views())
 	d.division.Store(division)
-	d.connect(m)
+	d.connect(r)
+	d.gossip.join(r)
 	d.ownership.adopt(asked, division)
-	d.tally.Gauge("epoch", m.Epoch)
-	d.log.Info("members changed", "epoch", m.Epoch, "hosts", len(m.Hosts), "joined", len(m.Joined), "left", len(m.Left))
+	d.tally.Gauge("epoch", r.Epoch)
+	d.log.Info("members changed", "epoch", r.Epoch, "hosts", len(r.hosts), "joined", len(r.Joined), "left", len(r.Left))
 }
 
 // install puts settings in force.
@@ -152,6 +178,7 @@
 	d.tally.Gauge("settings-revision", v.Revision())
 	d.log.Info("settings in force", "revision", v.Revision(), "targets", v.Targets())
 	d.redivide()
+	d.gossip.changed.Push(struct{}{})
 }
 
 // redivide divides the targets once the settings are known for which a record
@@ -163,17 +190,17 @@
 	if old == nil || len(old.owners) > 0 {
 		return
 	}
-	division := divide(old.members, nil, d.keeper.views())
+	division := divide(old.record, nil, d.keeper.views())
 	d.division.Store(division)
 	d.ownership.readopt(time.Now(), division)
 }
 
 // connect keeps a link to each host of the record.
-func (d *Daemon) connect(m platform.Members) {
+func (d *Daemon) connect(r record) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	wanted := map[string]bool{}
-	for _, h := range append(append([]platform.Member(nil), m.Hosts...), m.Left...) {
+	for _, h := range append(slices.Clone(r.hosts), r.before...) {
 		wanted[h.ID] = true
 		old := d.links[h.ID]
 		if h.ID == d.node.ID() || old != nil && old.address == h.PeerAddress {
--- a/internal/daemon/division.go
+++ b/internal/daemon/division.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"slices"
+
 	"fescuerill/internal/schema/platform"
 	"fescuerill/owner"
 	"fescuerill/settings"
@@ -15,54 +17,44 @@
 // division is who owns what under one record of members. It is not changed
 // once made.
 type division struct {
-	members platform.Members
-	owners  map[string]string
-	hosts   map[string]platform.Member
-	epoch   owner.Epoch
+	record record
+	owners map[string]string
+	hosts  map[string]platform.Member
+	epoch  owner.Epoch
 }
 
 // divide computes the division of a record. Views are the settings known,
 // newest first; targets are divided as they were when the record was written,
 // and nothing is owned when those are not known.
-func divide(m platform.Members, old *division, views []*settings.View) *division {
-	d := &division{members: m, owners: map[string]string{}, hosts: map[string]platform.Member{}}
-	for _, h := range m.Hosts {
+func divide(r record, old *division, views []*settings.View) *division {
+	d := &division{record: r, owners: map[string]string{}, hosts: map[string]platform.Member{}}
+	for _, h := range r.hosts {
 		d.hosts[h.ID] = h
 	}
-	if v := viewOf(m.Fingerprint, views); v != nil {
-		owner.Assign(d.owners, owners(m.Hosts), targets(v))
+	if v := viewOf(r.Fingerprint, views); v != nil {
+		owner.Assign(d.owners, owners(r.hosts), targets(v))
 	}
 	d.epoch = owner.Epoch{
-		Number: m.Epoch, Owners: d.owners, Lapsed: m.Lapsed, Suspects: m.Doubted,
-		Settled: m.Settled != nil && *m.Settled, Clean: m.Clean != nil && *m.Clean,
+		Number: r.Epoch, Owners: d.owners, Lapsed: r.Lapsed, Suspects: slices.Clone(r.Doubted),
+		Settled: r.Settled != nil && *r.Settled, Clean: r.Clean != nil && *r.Clean,
 	}
-	for _, h := range m.Hosts {
+	for _, h := range r.hosts {
 		d.epoch.Suspects = append(d.epoch.Suspects, h.ID)
 	}
-	d.epoch.Before = before(m, old, views)
+	d.epoch.Before = before(r, old, views)
 	return d
 }
 
-// before returns the owners under the epoch before that of m, or nil.
-func before(m platform.Members, old *division, views []*settings.View) map[string]string {
-	if old != nil && old.members.Epoch == m.Epoch-1 {
+// before returns the owners under the epoch before that of r, or nil.
+func before(r record, old *division, views []*settings.View) map[string]string {
+	if old != nil && old.record.Epoch == r.Epoch-1 && len(old.owners) > 0 {
 		return old.owners
 	}
-	v := viewOf(m.Fingerprint, views)
-	if v == nil || m.Epoch == 1 {
+	v := viewOf(r.Fingerprint, views)
+	if v == nil || r.before == nil {
 		return nil
 	}
-	joined := map[string]bool{}
-	for _, id := range m.Joined {
-		joined[id] = true
-	}
-	var hosts []platform.Member
-	for _, h := range m.Hosts {
-		if !joined[h.ID] {
-			hosts = append(hosts, h)
-		}
-	}
-	return owner.Assign(nil, owners(append(hosts, m.Left...)), targets(v))
+	return owner.Assign(nil, owners(r.before), targets(v))
 }
 
 func viewOf(fingerprint string, views []*settings.View) *settings.View {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -34,13 +34,15 @@
 
 // entry is the entry role of a daemon.
 type entry struct {
-	id     string
-	own    string
-	tally  *tally.Tally
-	plain  bool
-	ports  func(target string) port
-	view   atomic.Pointer[settings.View]
-	number atomic.Int64
+	id    string
+	own   string
+	tally *tally.Tally
+	plain bool
+	ports func(target string) port
+	// isolated reports whether the host hears nobody and must not take work.
+	isolated func(now time.Time) bool
+	view     atomic.Pointer[settings.View]
+	number   atomic.Int64
 
 	catalog   snapshot.Catalog
 	standings standings
@@ -181,6 +183,9 @@
 	}
 	p := services[0].Policy()
 	s.deadline = earlier(s.deadline, s.arrived.Add(p.Deadline()))
+	if e.isolated(s.arrived) {
+		return e.refuse(s, &p, "isolated")
+	}
 	if !e.enter() {
 		return e.refuse(s, &p, "overload")
 	}
--- a/internal/daemon/keeper.go
+++ b/internal/daemon/keeper.go
@@ -60,6 +60,8 @@
 	state    chan<- targetStatus
 	wanted   chan<- peer.TargetState
 	handover *peer.Released
+	// back is set when the target comes back into service.
+	back bool
 }
 
 type cancelled struct {
@@ -263,6 +265,8 @@
 		e.state <- k.status()
 	case e.wanted != nil:
 		e.wanted <- k.state()
+	case e.back:
+		k.gate.Return()
 	case e.handover != nil:
 		k.gate.HandOver(e.handover.Incarnation, target.ParseState(e.handover.State), e.handover.Completed)
 	}
--- a/internal/daemon/ownership.go
+++ b/internal/daemon/ownership.go
@@ -17,6 +17,9 @@
 const (
 	// shareEvery is how often the shares of targets are computed again.
 	shareEvery = 50 * time.Millisecond
+	// doubtEvery is how often the hosts are asked after that may still use a
+	// target.
+	doubtEvery = time.Second
 	// drainEvery is how often a keeper that ends is looked at.
 	drainEvery = 10 * time.Millisecond
 )
@@ -34,6 +37,8 @@
 	ledger  owner.Ledger
 	keepers map[string]*keeper
 	shares  map[string]target.Share
+	// out marks the targets that are out of service.
+	out     map[string]bool
 	view    *settings.View
 	early   []peer.Release
 	cleared int
@@ -41,7 +46,7 @@
 }
 
 func newOwnership(self string, lease time.Duration, t *tally.Tally, plain bool) *ownership {
-	o := &ownership{self: self, tally: t, plain: plain, keepers: map[string]*keeper{}, shares: map[string]target.Share{}}
+	o := &ownership{self: self, tally: t, plain: plain, keepers: map[string]*keeper{}, shares: map[string]target.Share{}, out: map[string]bool{}}
 	o.ledger.Reset(self, lease)
 	return o
 }
@@ -57,6 +62,7 @@
 		k := o.keepers[h.Target]
 		delete(o.keepers, h.Target)
 		delete(o.shares, h.Target)
+		delete(o.out, h.Target)
 		if k != nil {
 			drained.Add(1)
 			o.drains.Go(func() {
@@ -95,6 +101,7 @@
 		if !o.ledger.Owns(path) || b == nil || k.address != b.Address() {
 			delete(o.keepers, path)
 			delete(o.shares, path)
+			delete(o.out, path)
 			o.drains.Go(func() { o.drain(k, owner.Handover{}, 0) })
 		}
 	}
@@ -169,9 +176,15 @@
 	proven := o.proven(now)
 	for path, k := range o.keepers {
 		s := o.ledger.Share(path, proven)
-		if b := o.view.Target(path); b == nil || !o.view.Takes(b) {
+		b := o.view.Target(path)
+		out := b == nil || !o.view.Takes(b)
+		if out {
 			s = target.ShareNone
 		}
+		if o.out[path] && !out {
+			k.inbox.Push(event{back: true})
+		}
+		o.out[path] = out
 		if old, ok := o.shares[path]; !ok || old != s {
 			o.shares[path] = s
 			k.inbox.Push(event{share: &s})
@@ -202,26 +215,36 @@
 	for ctx.Err() == nil {
 		pause(ctx, storeRetry)
 		o.mu.Lock()
-		cleared, waiting := o.cleared, o.ledger.Waiting(time.Now())
+		cleared := o.cleared
+		unproven, waiting := o.ledger.Waiting(time.Now())
 		o.mu.Unlock()
 		_ = f.ack(ctx, cleared)
 		if !waiting {
 			continue
 		}
-		if s, err := f.surveyed(ctx); err == nil {
-			o.surveyed(ctx, f, s)
+		if unproven {
+			if s, err := f.surveyed(ctx); err == nil {
+				o.surveyed(s)
+			}
+		} else {
+			o.doubt(ctx, f)
+			pause(ctx, doubtEvery)
 		}
 	}
 }
 
-func (o *ownership) surveyed(ctx context.Context, f *fleet, s owner.Survey) {
+func (o *ownership) surveyed(s owner.Survey) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.ledger.Surveyed(s, o.proven(time.Now()))
+}
+
+// doubt asks after the hosts that may still use half of a target.
+func (o *ownership) doubt(ctx context.Context, f *fleet) {
+	o.mu.Lock()
 	doubted := o.ledger.Doubted(nil)
 	o.mu.Unlock()
-	if len(doubted) == 0 {
-		return
-	}
+	o.surveyed(f.lookedUp(ctx, doubted))
 	ended := f.ended(ctx, doubted)
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -30,7 +30,7 @@
 }
 
 // Call implements link.Handler.
-func (h peerHandler) Call(_ context.Context, method string, params json.RawMessage) (any, error) {
+func (h peerHandler) Call(ctx context.Context, method string, params json.RawMessage) (any, error) {
 	d := h.daemon
 	switch method {
 	case link.MethodTargets:
@@ -46,6 +46,27 @@
 		}
 		d.ownership.take(r)
 		return struct{}{}, nil
+	case link.MethodProbe:
+		var p peer.Probe
+		if err := json.Unmarshal(params, &p); err != nil {
+			return nil, errors.Wrap(err, method)
+		}
+		d.gossip.hear(p)
+		return d.gossip.message(), nil
+	case link.MethodPull:
+		var q peer.Pull
+		if err := json.Unmarshal(params, &q); err != nil {
+			return nil, errors.Wrap(err, method)
+		}
+		return d.pulled(q)
+	case link.MethodCheck:
+		var c peer.Check
+		if err := json.Unmarshal(params, &c); err != nil {
+			return nil, errors.Wrap(err, method)
+		}
+		alive := d.gossip.reach(ctx, c.ID)
+		c.Alive = &alive
+		return c, nil
 	default:
 		return nil, errors.Errorf("daemon: unknown method %q", method)
 	}
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -3,20 +3,27 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fescuerill/internal/invariant"
+	"fescuerill/internal/schema/peer"
 	"fescuerill/internal/schema/platform"
 	"fescuerill/settings"
 	"fescuerill/store"
-
-	"github.com/pkg/errors"
 )
 
-// viewsKept is the number of settings kept that differ in their targets.
-const viewsKept = 3
+// Sizes of what is kept of earlier settings.
+const (
+	// viewsKept is the number of settings kept that differ in their targets.
+	viewsKept = 3
+	// manifestsKept is the number of manifests from which a change can be told.
+	manifestsKept = 8
+	// fetchTimeout bounds the reading of the parts of new settings.
+	fetchTimeout = 10 * time.Second
+)
 
 // settingsKeeper keeps the settings in force up to date.
 type settingsKeeper struct {
@@ -24,13 +31,12 @@
 
 	// adopting is held while settings are put in force, so that they are in
 	// order; mu guards the fields.
-	adopting sync.Mutex
-	mu       sync.Mutex
-	revision int
-	stored   int
-	contents map[string]string
-	manifest platform.Manifest
-	recent   []*settings.View
+	adopting  sync.Mutex
+	mu        sync.Mutex
+	stored    int
+	contents  map[string]string
+	manifests []platform.Manifest
+	recent    []*settings.View
 }
 
 func newSettingsKeeper(d *Daemon) *settingsKeeper {
@@ -44,20 +50,33 @@
 	return append([]*settings.View(nil), k.recent...)
 }
 
-// watch is the duty that learns of new settings from the store.
-func (k *settingsKeeper) watch(ctx context.Context) {
-	for ctx.Err() == nil {
-		k.mu.Lock()
-		after := k.stored
-		k.mu.Unlock()
-		e, err := k.daemon.store.Watch(ctx, settings.ManifestKey, after, watchWait)
-		if err == nil {
-			err = k.take(ctx, e)
-		}
-		if err != nil && !errors.Is(err, store.ErrNotFound) {
-			k.daemon.tally.Add("settings-watch-failed", 1)
-			pause(ctx, rand.N(2*storeRetry))
-		}
+// current returns the revision in force, 0 before the first.
+func (k *settingsKeeper) current() int {
+	return k.manifest().Revision
+}
+
+func (k *settingsKeeper) manifest() platform.Manifest {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.manifests) == 0 {
+		return platform.Manifest{}
+	}
+	return k.manifests[0]
+}
+
+// watch waits for settings that are newer than those known.
+func (k *settingsKeeper) watch(ctx context.Context) error {
+	k.mu.Lock()
+	after := k.stored
+	k.mu.Unlock()
+	e, err := k.daemon.store.Watch(ctx, settings.ManifestKey, after, watchWait)
+	switch {
+	case err == nil:
+		return k.take(ctx, e)
+	case errors.Is(err, store.ErrNotFound):
+		return nil
+	default:
+		return err
 	}
 }
 
@@ -79,29 +98,35 @@
 func (k *settingsKeeper) adopt(ctx context.Context, m platform.Manifest) error {
 	k.adopting.Lock()
 	defer k.adopting.Unlock()
-	if m.Revision <= k.revision {
+	if m.Revision <= k.current() {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	t, err := settings.Fetch(ctx, k.daemon.store, m, k.contents)
+	k.mu.Lock()
+	known := make(map[string]string, len(k.contents))
+	for hash, content := range k.contents {
+		known[hash] = content
+	}
+	k.mu.Unlock()
+	t, err := settings.Fetch(ctx, k.daemon.store, m, known)
 	if err != nil {
 		return err
 	}
 	v := t.View(m.Revision)
-	invariant.Check(v.Revision() > k.revision, "settings-never-revert", "from", k.revision, "to", v.Revision())
-	k.mu.Lock()
-	k.revision, k.manifest = m.Revision, m
-	k.forget()
-	k.remember(v)
-	k.mu.Unlock()
+	invariant.Check(v.Revision() > k.current(), "settings-never-revert", "from", k.current(), "to", v.Revision())
+	k.remember(m, v, known)
 	k.daemon.install(v)
 	return nil
 }
 
-// remember keeps the settings. Only the newest of those with the same targets
-// is kept.
-func (k *settingsKeeper) remember(v *settings.View) {
+// remember keeps settings that are in force now. Of those with the same targets
+// only the newest is kept, and of the contents those that are named.
+func (k *settingsKeeper) remember(m platform.Manifest, v *settings.View, known map[string]string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.manifests = append([]platform.Manifest{m}, k.manifests...)
+	k.manifests = k.manifests[:min(len(k.manifests), manifestsKept)]
 	kept := []*settings.View{v}
 	for _, old := range k.recent {
 		if old.Fingerprint() != v.Fingerprint() && len(kept) < viewsKept {
@@ -109,13 +134,93 @@
 		}
 	}
 	k.recent = kept
+	k.contents = make(map[string]string, len(m.Parts))
+	for _, p := range m.Parts {
+		k.contents[p.Hash] = known[p.Hash]
+	}
+}
+
+// answer returns the settings for a host that has those of an earlier revision:
+// as a change with its contents when that revision is still known.
+func (k *settingsKeeper) answer(q peer.Pull) (peer.Pulled, error) {
+	var p peer.Pulled
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.manifests) == 0 || k.manifests[0].Revision <= q.Revision {
+		return p, nil
+	}
+	present := k.manifests[0]
+	for _, old := range k.manifests[1:] {
+		if old.Revision != q.Revision || q.Whole != nil && *q.Whole {
+			continue
+		}
+		d := settings.Between(old, present)
+		text, err := json.Marshal(d)
+		p.Delta = new(string(text))
+		p.Parts = peer.PulledParts{}
+		for _, c := range d.Changed {
+			p.Parts[c.Hash] = k.contents[c.Hash]
+		}
+		return p, errors.Wrap(err, "daemon: change")
+	}
+	text, err := json.Marshal(present)
+	p.Manifest = new(string(text))
+	return p, errors.Wrap(err, "daemon: manifest")
 }
 
-// forget drops contents that the manifest in force does not name.
-func (k *settingsKeeper) forget() {
-	named := make(map[string]string, len(k.manifest.Parts))
-	for _, p := range k.manifest.Parts {
-		named[p.Hash] = k.contents[p.Hash]
+// pulled returns the manifest that was pulled, with revision 0 for none, and
+// keeps the contents that came with it.
+func (k *settingsKeeper) pulled(p peer.Pulled) (platform.Manifest, error) {
+	var m platform.Manifest
+	k.learn(p.Parts)
+	switch {
+	case p.Manifest != nil:
+		return m, errors.Wrap(json.Unmarshal([]byte(*p.Manifest), &m), "daemon: manifest")
+	case p.Delta != nil:
+		var d platform.Delta
+		if err := json.Unmarshal([]byte(*p.Delta), &d); err != nil {
+			return m, errors.Wrap(err, "daemon: change")
+		}
+		return settings.Follow(k.manifest(), d)
+	default:
+		return m, nil
+	}
+}
+
+// learn keeps contents that match their hashes.
+func (k *settingsKeeper) learn(parts map[string]string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for hash, content := range parts {
+		if settings.HashOf(content) == hash {
+			k.contents[hash] = content
+		}
+	}
+}
+
+// missing returns the hashes of the contents that a manifest names and which
+// are not known.
+func (k *settingsKeeper) missing(m platform.Manifest) []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []string
+	for _, p := range m.Parts {
+		if _, ok := k.contents[p.Hash]; !ok {
+			out = append(out, p.Hash)
+		}
+	}
+	return out
+}
+
+// contentsOf returns the contents that are known of those named.
+func (k *settingsKeeper) contentsOf(hashes []string) map[string]string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := map[string]string{}
+	for _, hash := range hashes {
+		if content, ok := k.contents[hash]; ok {
+			out[hash] = content
+		}
 	}
-	k.contents = named
+	return out
 }
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -20,6 +20,7 @@
 // the rest is cut short.
 func (d *Daemon) Stop(ctx context.Context) {
 	d.leaving.Store(true)
+	d.gossip.leave()
 	d.log.Info("stopping")
 	if err := d.fleet.leave(ctx); err != nil {
 		d.log.Warn("leaving mark not written", "error", err)
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -53,8 +53,17 @@
 // returns.
 type handlerFunc func(ctx context.Context, method string, params json.RawMessage) (any, error)
 
-// Handle implements jsonrpc2.Handler.
+// Handle implements jsonrpc2.Handler. Notifications are handled in the order in
+// which they come; a call, whose answer may take time, does not hold them up.
 func (h handlerFunc) Handle(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	if r.Notif {
+		h.handle(ctx, c, r)
+		return
+	}
+	go h.handle(ctx, c, r)
+}
+
+func (h handlerFunc) handle(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
 	var params json.RawMessage
 	if r.Params != nil {
 		params = *r.Params
--- a/internal/schema/peer/peer.gen.go
+++ b/internal/schema/peer/peer.gen.go
@@ -47,6 +47,15 @@
 	Query int `json:"query"`
 }
 
+// Asks a host to probe another, and says whether it answered.
+type Check struct {
+	// Whether it answered.
+	Alive *bool `json:"alive,omitempty,omitzero"`
+
+	// Name of the host to probe.
+	ID string `json:"id"`
+}
+
 // One document found.
 type Hit struct {
 	// Name of the document.
@@ -71,12 +80,6 @@
 	Snapshot int `json:"snapshot"`
 }
 
-// Asks a host to probe another.
-type Indirect struct {
-	// Name of the host to probe.
-	ID string `json:"id"`
-}
-
 // What is said of one host.
 type News struct {
 	// Name of the host.
@@ -128,7 +131,7 @@
 	StoreOut *bool `json:"store-out,omitempty,omitzero"`
 }
 
-// Asks a host for the values by which it is ahead.
+// Asks a host for that by which it is ahead.
 type Pull struct {
 	// Ownership epoch of the sender.
 	Epoch int `json:"epoch"`
@@ -138,18 +141,27 @@
 
 	// Settings revision of the sender.
 	Revision int `json:"revision"`
+
+	// Whether the whole manifest is wanted rather than a change.
+	Whole *bool `json:"whole,omitempty,omitzero"`
 }
 
-// Values by which a host is ahead.
+// That by which a host is ahead.
 type Pulled struct {
-	// Settings manifest.
+	// Change of the settings manifest.
+	Delta *string `json:"delta,omitempty,omitzero"`
+
+	// Whole settings manifest.
 	Manifest *string `json:"manifest,omitempty,omitzero"`
 
-	// Ownership record.
+	// Record of members.
 	Members *string `json:"members,omitempty,omitzero"`
 
 	// Settings parts by hash.
 	Parts PulledParts `json:"parts,omitempty,omitzero"`
+
+	// Roster of members.
+	Roster *string `json:"roster,omitempty,omitzero"`
 }
 
 // Settings parts by hash.
--- a/internal/schema/platform/platform.gen.go
+++ b/internal/schema/platform/platform.gen.go
@@ -2,6 +2,33 @@
 
 package platform
 
+// A manifest as a change of an earlier one.
+type Delta struct {
+	// Operator who made the change.
+	Author *string `json:"author,omitempty,omitzero"`
+
+	// Revision of the earlier manifest.
+	Base int `json:"base"`
+
+	// Name of the change that made it.
+	ChangeID string `json:"change-id"`
+
+	// Parts that are new or have another content.
+	Changed []PartName `json:"changed"`
+
+	// Paths of parts that are gone.
+	Removed []string `json:"removed"`
+
+	// Revision of the manifest.
+	Revision int `json:"revision"`
+
+	// Hash of the manifest.
+	Sum string `json:"sum"`
+
+	// Time of the change.
+	Time *string `json:"time,omitempty,omitzero"`
+}
+
 // A value in the store.
 type Entry struct {
 	// Key.
@@ -28,6 +55,9 @@
 	// Name of the host.
 	ID string `json:"id"`
 
+	// IP address and port for other hosts.
+	PeerAddress *string `json:"peer-address,omitempty,omitzero"`
+
 	// live or leaving.
 	State string `json:"state"`
 }
@@ -78,7 +108,8 @@
 	State string `json:"state"`
 }
 
-// The hosts among which the targets are divided.
+// The hosts among which the targets are divided, as a change of those of the epoch
+// before.
 type Members struct {
 	// Whether no lease of the epoch before was left.
 	Clean *bool `json:"clean,omitempty,omitzero"`
@@ -92,23 +123,20 @@
 	// Hash of the targets that are divided.
 	Fingerprint string `json:"fingerprint"`
 
-	// Hosts in order of their names.
-	Hosts []Member `json:"hosts"`
-
-	// Hosts that were not in the epoch before.
-	Joined []string `json:"joined,omitempty,omitzero"`
+	// Hosts that were not in the epoch before or have another lease.
+	Joined []Member `json:"joined"`
 
 	// Hosts of the epoch before whose leases were gone when this one was written.
 	Lapsed []string `json:"lapsed,omitempty,omitzero"`
 
 	// Hosts of the epoch before that are not in this one.
-	Left []Member `json:"left,omitempty,omitzero"`
-
-	// Hosts with another lease than in the epoch before.
-	Renewed []string `json:"renewed,omitempty,omitzero"`
+	Left []string `json:"left"`
 
 	// Whether the epoch before had been in force for a lease time.
 	Settled *bool `json:"settled,omitempty,omitzero"`
+
+	// Hash of the roster.
+	Sum string `json:"sum"`
 }
 
 // Names a part of the settings by the hash of its content.
@@ -131,3 +159,9 @@
 	// Value.
 	Value string `json:"value"`
 }
+
+// All hosts of an epoch.
+type Roster struct {
+	// Hosts in order of their names.
+	Hosts []Member `json:"hosts"`
+}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -21,7 +21,7 @@
 	leases   map[string]*granted
 	revision int
 	changed  chan struct{}
-	hosts    map[string]string
+	hosts    map[string]platform.Listed
 	faults   StoreFaults
 	calls    map[string]int
 }
@@ -54,13 +54,13 @@
 }
 
 // SetHost sets what the host list says of a host; the empty state removes it.
-func (s *Store) SetHost(id, state string) {
+func (s *Store) SetHost(id, state, peerAddress string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.hosts == nil {
-		s.hosts = map[string]string{}
+		s.hosts = map[string]platform.Listed{}
 	}
-	s.hosts[id] = state
+	s.hosts[id] = platform.Listed{ID: id, State: state, PeerAddress: &peerAddress}
 	if state == "" {
 		delete(s.hosts, id)
 	}
@@ -140,7 +140,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	answer(w, http.StatusOK, e.Entry)
+	Answer(w, http.StatusOK, e.Entry)
 }
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
@@ -154,7 +154,7 @@
 	}
 	s.mu.Unlock()
 	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
-	answer(w, http.StatusOK, found)
+	Answer(w, http.StatusOK, found)
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
@@ -170,7 +170,7 @@
 		changed := s.changed
 		s.mu.Unlock()
 		if ok && e.Revision > after {
-			answer(w, http.StatusOK, e.Entry)
+			Answer(w, http.StatusOK, e.Entry)
 			return
 		}
 		select {
@@ -195,7 +195,7 @@
 	s.expire()
 	old := s.entries[key]
 	if p.IfRevision != nil && *p.IfRevision != old.Revision {
-		answer(w, http.StatusConflict, old.Entry)
+		Answer(w, http.StatusConflict, old.Entry)
 		return
 	}
 	e := stored{}
@@ -216,7 +216,7 @@
 		close(s.changed)
 		s.changed = nil
 	}
-	answer(w, http.StatusOK, e.Entry)
+	Answer(w, http.StatusOK, e.Entry)
 }
 
 func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
@@ -233,7 +233,7 @@
 		s.leases = map[string]*granted{}
 	}
 	s.leases[l.ID] = &granted{d, time.Now().Add(d)}
-	answer(w, http.StatusOK, l)
+	Answer(w, http.StatusOK, l)
 }
 
 func (s *Store) renew(w http.ResponseWriter, r *http.Request) {
@@ -246,25 +246,25 @@
 		return
 	}
 	l.expires = time.Now().Add(l.time)
-	answer(w, http.StatusOK, struct{}{})
+	Answer(w, http.StatusOK, struct{}{})
 }
 
 func (s *Store) revoke(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.drop(r.PathValue("id"))
-	answer(w, http.StatusOK, struct{}{})
+	Answer(w, http.StatusOK, struct{}{})
 }
 
 func (s *Store) listHosts(w http.ResponseWriter, _ *http.Request) {
 	listed := []platform.Listed{}
 	s.mu.Lock()
-	for id, state := range s.hosts {
-		listed = append(listed, platform.Listed{ID: id, State: state})
+	for _, h := range s.hosts {
+		listed = append(listed, h)
 	}
 	s.mu.Unlock()
 	sort.Slice(listed, func(i, j int) bool { return listed[i].ID < listed[j].ID })
-	answer(w, http.StatusOK, listed)
+	Answer(w, http.StatusOK, listed)
 }
 
 func read(w http.ResponseWriter, r *http.Request, v any) bool {
@@ -275,7 +275,8 @@
 	return err == nil
 }
 
-func answer(w http.ResponseWriter, status int, v any) {
+// Answer writes a value as JSON.
+func Answer(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -143,7 +143,7 @@
 	}
 	switch r.Method + " " + r.URL.Path {
 	case "GET /v1/report":
-		answer(w, http.StatusOK, t.report())
+		Answer(w, http.StatusOK, t.report())
 	case "POST /v1/exchange":
 		t.exchange(w, r)
 	case "POST /v1/cancel":
@@ -164,7 +164,7 @@
 		t.counts.Cancelled++
 	}
 	t.mu.Unlock()
-	answer(w, http.StatusOK, struct{}{})
+	Answer(w, http.StatusOK, struct{}{})
 }
 
 func (t *Target) exchange(w http.ResponseWriter, r *http.Request) {
@@ -183,7 +183,7 @@
 		t.leave(q.ExchangeID, whole)
 	}
 	results := t.results(q, reason)
-	answer(w, http.StatusOK, exchange.Reply{Results: results, Report: t.report()})
+	Answer(w, http.StatusOK, exchange.Reply{Results: results, Report: t.report()})
 }
 
 // arrive counts an exchange in and returns why it is refused, if it is.
--- a/owner/ledger.go
+++ b/owner/ledger.go
@@ -161,14 +161,14 @@
 	return true
 }
 
-// Waiting reports whether a survey would tell something at now.
-func (l *Ledger) Waiting(now time.Time) bool {
+// Waiting reports whether a survey could make a target proven at now, and
+// whether anything is waited for at all.
+func (l *Ledger) Waiting(now time.Time) (unproven, waiting bool) {
 	for _, t := range l.tenures {
-		if t.proven && len(t.doubts) > 0 || !t.proven && !now.Before(t.ready) {
-			return true
-		}
+		unproven = unproven || !t.proven && !now.Before(t.ready)
+		waiting = waiting || t.proven && len(t.doubts) > 0
 	}
-	return false
+	return unproven, waiting || unproven
 }
 
 // Surveyed takes a survey. Targets become proven by one that was made after
--- /dev/null
+++ b/settings/delta.go
@@ -0,0 +1,74 @@
+package settings
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"fescuerill/internal/schema/platform"
+)
+
+// ErrSum is returned for a change that does not lead to the manifest it names.
+var ErrSum = errors.New("settings: manifest does not match its sum")
+
+// Sum returns the name of the content of a manifest.
+func Sum(m platform.Manifest) string {
+	text, err := json.Marshal(m)
+	if err != nil {
+		return ""
+	}
+	return HashOf(string(text))
+}
+
+// Between returns the manifest m as a change of old.
+func Between(old, m platform.Manifest) platform.Delta {
+	d := platform.Delta{
+		Base: old.Revision, Revision: m.Revision, ChangeID: m.ChangeID, Author: m.Author, Time: m.Time,
+		Sum: Sum(m), Changed: []platform.PartName{}, Removed: []string{},
+	}
+	before := byPath(old)
+	for _, p := range m.Parts {
+		if before[p.Path] != p.Hash {
+			d.Changed = append(d.Changed, p)
+		}
+		delete(before, p.Path)
+	}
+	for path := range before {
+		d.Removed = append(d.Removed, path)
+	}
+	slices.Sort(d.Removed)
+	return d
+}
+
+// Follow returns the manifest that a change makes of old.
+func Follow(old platform.Manifest, d platform.Delta) (platform.Manifest, error) {
+	if old.Revision != d.Base {
+		return platform.Manifest{}, ErrSum
+	}
+	parts := byPath(old)
+	for _, p := range d.Changed {
+		parts[p.Path] = p.Hash
+	}
+	for _, path := range d.Removed {
+		delete(parts, path)
+	}
+	m := platform.Manifest{Revision: d.Revision, ChangeID: d.ChangeID, Author: d.Author, Time: d.Time}
+	for path, hash := range parts {
+		m.Parts = append(m.Parts, platform.PartName{Path: path, Hash: hash})
+	}
+	slices.SortFunc(m.Parts, func(a, b platform.PartName) int { return strings.Compare(a.Path, b.Path) })
+	if Sum(m) != d.Sum {
+		return platform.Manifest{}, ErrSum
+	}
+	return m, nil
+}
+
+func byPath(m platform.Manifest) map[string]string {
+	out := make(map[string]string, len(m.Parts))
+	for _, p := range m.Parts {
+		out[p.Path] = p.Hash
+	}
+	return out
+}
--- a/settings/part.go
+++ b/settings/part.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -63,6 +64,7 @@
 			}
 		}
 	}
+	slices.SortFunc(parts, func(a, b Part) int { return strings.Compare(a.path, b.path) })
 	return parts, nil
 }
 
--- a/store/client.go
+++ b/store/client.go
@@ -106,8 +106,7 @@
 
 // Hosts returns the state of each host listed, "live" or "leaving", by name.
 func (l *HostList) Hosts(ctx context.Context) (map[string]string, error) {
-	var listed []platform.Listed
-	err := l.client.call(ctx, callTimeout, http.MethodGet, "/v1/hosts", nil, &listed)
+	listed, err := l.listed(ctx)
 	out := make(map[string]string, len(listed))
 	for _, h := range listed {
 		out[h.ID] = h.State
@@ -115,6 +114,25 @@
 	return out, err
 }
 
+// Addresses returns the IP address and port for other hosts of each host
+// listed, by name.
+func (l *HostList) Addresses(ctx context.Context) (map[string]string, error) {
+	listed, err := l.listed(ctx)
+	out := make(map[string]string, len(listed))
+	for _, h := range listed {
+		if h.PeerAddress != nil {
+			out[h.ID] = *h.PeerAddress
+		}
+	}
+	return out, err
+}
+
+func (l *HostList) listed(ctx context.Context) ([]platform.Listed, error) {
+	var listed []platform.Listed
+	err := l.client.call(ctx, callTimeout, http.MethodGet, "/v1/hosts", nil, &listed)
+	return listed, err
+}
+
 func entry(e platform.Entry) Entry { return Entry{e.Key, e.Value, e.Revision} }
 
 // call sends a request and decodes the answer into out, also that of a
--- a/target/gate.go
+++ b/target/gate.go
@@ -304,6 +304,9 @@
 	g.completed = max(0, completed)
 }
 
+// Return takes the target for cold after it was out of service.
+func (g *Gate) Return() { g.restart(TurnReturned) }
+
 // restart takes the target for cold. Exchanges that began before do not count
 // as work done since.
 func (g *Gate) restart(t Turn) {
--- a/target/gate_test.go
+++ b/target/gate_test.go
@@ -144,7 +144,7 @@
 func TestNeverMoreThanATargetBears(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now, incarnation := epoch, 1
-		real := bearing{running: map[uint64]bool{}}
+		truth := bearing{running: map[uint64]bool{}}
 		g := newGate()
 		report := func() target.Report {
 			lie := rapid.SampledFrom([]target.State{target.Cold, target.Warming, target.Warm}).Draw(t, "reported")
@@ -159,34 +159,34 @@
 				if !ok {
 					return
 				}
-				slots, most := real.bears()
-				if len(real.running)+1 > slots || batch > most {
-					t.Fatalf("%d exchanges of %d parts for a target that bears %d of %d", len(real.running)+1, batch, slots, most)
+				slots, most := truth.bears()
+				if len(truth.running)+1 > slots || batch > most {
+					t.Fatalf("%d exchanges of %d parts for a target that bears %d of %d", len(truth.running)+1, batch, slots, most)
 				}
-				real.running[id] = true
+				truth.running[id] = true
 			},
 			"end": func(t *rapid.T) {
-				for id := range real.running {
-					delete(real.running, id)
+				for id := range truth.running {
+					delete(truth.running, id)
 					if rapid.Bool().Draw(t, "answer lost") {
-						real.completed++
+						truth.completed++
 						return
 					}
-					real.completed++
+					truth.completed++
 					g.Complete(now, id, report(), true)
 					return
 				}
 			},
 			"cancel": func(*rapid.T) {
-				for id := range real.running {
-					delete(real.running, id)
+				for id := range truth.running {
+					delete(truth.running, id)
 					g.Complete(now, id, report(), false)
 					return
 				}
 			},
 			"restart": func(*rapid.T) {
 				incarnation++
-				real = bearing{running: map[uint64]bool{}}
+				truth = bearing{running: map[uint64]bool{}}
 				g.Heard(now, report())
 			},
 			"time": func(*rapid.T) {
@@ -194,7 +194,7 @@
 				// What runs at the target ends by its deadline.
 				g.Expire(now)
 				if g.Taken() == 0 {
-					clear(real.running)
+					clear(truth.running)
 				}
 			},
 		})
