Let the cost of control not grow with the fleet; spend hedges where they help

Cause: "bench control" showed 107 bytes/s a daemon more for each host in the fleet (3,041 at 6, 7,738 at 50): a lease renewal read the whole record of members, which after a start of all hosts names them all. Before that, each link woke every 50 ms whether used or not.

Change: a renewal reads the record only if it is newer than the one known; links connect when needed, sleep while nothing is under way and close when idle; one host a second surveys. Budgets keep a reserve for urgent requests, and a hedge that was refused is tried again; a part given up counts as slow. An exchange without an answer no longer ends its parts early: their answer may still come, and hedges cover them.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -5,6 +5,10 @@
 // Burst is the number of extra requests that can be saved up.
 const Burst = 256
 
+// Reserve is the number of extra requests that are kept for those that cannot
+// wait.
+const Reserve = 2
+
 // unit is one extra request. Parts of one are counted in whole numbers, so that
 // no rounding grants more than was earned.
 const unit = 1_000_000
@@ -40,9 +44,13 @@
 }
 
 // Spend takes one extra request out of the budget and reports whether there
-// was one.
-func (b *Budget) Spend() bool {
-	if b.saved < unit {
+// was one. One that is not urgent leaves the reserve.
+func (b *Budget) Spend(urgent bool) bool {
+	least := int64(unit)
+	if !urgent {
+		least += Reserve * unit
+	}
+	if b.saved < least {
 		return false
 	}
 	b.saved -= unit
--- /dev/null
+++ b/internal/command/bench.go
@@ -0,0 +1,55 @@
+package command
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"fescuerill/internal/bench"
+)
+
+func newBench() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "bench",
+		Short: "Make the tables of the measurements",
+	}
+	c.AddCommand(newBenchScenarios(), newBenchControl())
+	return c
+}
+
+func newBenchScenarios() *cobra.Command {
+	var shape string
+	var seed uint64
+	c := &cobra.Command{
+		Use:   "scenarios",
+		Short: "Latency, coverage and extra load under faults, without and with the policies",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := shapeOf(shape)
+			if err != nil {
+				return err
+			}
+			return bench.Scenarios(c.OutOrStdout(), s, seed)
+		},
+	}
+	c.Flags().StringVar(&shape, "shape", "trust", "deployment to run: trust or exchange")
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the run")
+	return c
+}
+
+func newBenchControl() *cobra.Command {
+	var hosts []int
+	var lease time.Duration
+	c := &cobra.Command{
+		Use:   "control",
+		Short: "What control costs without queries, at several numbers of daemons",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, err := bench.Control(c.OutOrStdout(), hosts, lease)
+			return err
+		},
+	}
+	c.Flags().IntSliceVar(&hosts, "hosts", []int{6, 9, 25, 50}, "numbers of daemons")
+	c.Flags().DurationVar(&lease, "lease-time", 6*time.Second, "time after which the lease of a host lapses")
+	return c
+}
--- a/internal/daemon/bootstrap.go
+++ b/internal/daemon/bootstrap.go
@@ -38,11 +38,5 @@
 func (d *Daemon) pullFrom(ctx context.Context, address string) {
 	l := link.New(address, d.entry, &d.traffic)
 	defer l.Close()
-	for range 20 {
-		if l.Up() {
-			d.pull(ctx, l)
-			return
-		}
-		pause(ctx, bootstrapEvery/100)
-	}
+	d.pull(ctx, l)
 }
--- a/internal/daemon/chooser.go
+++ b/internal/daemon/chooser.go
@@ -18,9 +18,11 @@
 	coldFactor = 8.0
 	// farFactor is the same for one in another data centre.
 	farFactor = 1.2
-	// trickle is the share of choices that go to a target that is not warm
-	// although a warm one could be asked, so that it warms up.
-	trickle = 0.05
+	// coldTrickle is the share of choices that go to a target that is not warm
+	// although a warm one could be asked, so that it warms up; slowTrickle is
+	// the same for one that was slow, so that it is seen to recover.
+	coldTrickle = 0.15
+	slowTrickle = 0.02
 )
 
 // standing is what an entry knows of a target.
@@ -68,6 +70,18 @@
 	}
 }
 
+// gaveUp counts a part that is no longer waited for after some time. Had it
+// been answered, that would have taken longer.
+func (s *standings) gaveUp(path string, waited time.Duration) {
+	s.mu.Lock()
+	late := waited > s.get(path).latency
+	s.mu.Unlock()
+	if !late {
+		waited = 0
+	}
+	s.answered(path, waited)
+}
+
 // hear takes the state of a target from its owner.
 func (s *standings) hear(path string, state target.State) {
 	s.mu.Lock()
@@ -89,7 +103,7 @@
 func (c *chooser) First(holders []string, skip func(string) bool) string {
 	c.standings.mu.Lock()
 	defer c.standings.mu.Unlock()
-	explore := c.random.Float64() < trickle
+	draw := c.random.Float64()
 	best, bestScore := "", 0.0
 	for _, h := range holders {
 		if skip(h) || !c.usable(h) {
@@ -99,7 +113,7 @@
 		if t.known && (t.state == target.Lost || t.state == target.Leaving) {
 			continue
 		}
-		score := c.score(h, t, explore)
+		score := c.score(h, t, draw)
 		if best == "" || score < bestScore {
 			best, bestScore = h, score
 		}
@@ -108,10 +122,13 @@
 }
 
 // score returns how long a part would take, roughly; lower is better.
-func (c *chooser) score(path string, t *standing, explore bool) float64 {
+func (c *chooser) score(path string, t *standing, draw float64) float64 {
 	score := float64(t.under+1) * float64(t.latency) * (1 + c.random.Float64()/16)
+	if draw < slowTrickle {
+		return c.random.Float64()
+	}
 	if t.known && t.state != target.Warm {
-		if explore {
+		if draw < coldTrickle {
 			return 0
 		}
 		score *= coldFactor
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -293,6 +293,14 @@
 // Incarnation returns the name of this run of the daemon.
 func (d *Daemon) Incarnation() string { return d.incarnation }
 
+// StoreBytes returns the bytes sent to and received from the platform's store.
+func (d *Daemon) StoreBytes() int64 {
+	if d.client == nil {
+		return 0
+	}
+	return d.client.Bytes()
+}
+
 // Traffic returns the bytes sent to and received from other daemons.
 func (d *Daemon) Traffic() *link.Traffic { return &d.traffic }
 
@@ -317,3 +325,6 @@
 	}
 	return n
 }
+
+// Revision returns the revision of the settings in force, 0 before the first.
+func (d *Daemon) Revision() int { return d.keeper.current() }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -116,11 +116,11 @@
 }
 
 // Spend implements query.Spender.
-func (e *entry) Spend(service string) bool {
+func (e *entry) Spend(service string, urgent bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	b := e.budgets[service]
-	return b != nil && b.Spend()
+	return b != nil && b.Spend(urgent)
 }
 
 // earn counts first requests to services.
@@ -345,12 +345,16 @@
 	delete(p.asked, t.ID)
 	outcome := parseOutcome(t.Outcome)
 	if ok {
-		took := time.Duration(0)
-		if outcome == query.Done {
-			took = now.Sub(began)
+		switch outcome {
+		case query.Done:
+			took := now.Sub(began)
 			p.entry.latencies.add(now, group(t.Target), took)
+			p.entry.standings.answered(t.Target, took)
+		case query.Unknown:
+			p.entry.standings.gaveUp(t.Target, now.Sub(began))
+		default:
+			p.entry.standings.answered(t.Target, 0)
 		}
-		p.entry.standings.answered(t.Target, took)
 	}
 	in := query.Told{ID: t.ID, Target: t.Target, Snapshot: t.Snapshot, Outcome: outcome, Hits: make([]query.Hit, len(t.Hits))}
 	if t.Reason != nil {
@@ -402,12 +406,14 @@
 // cancel tells owners what is no longer wanted.
 func (p *pass) cancel(losers []query.Ask) {
 	grouped := map[port]*peer.Cancel{}
+	now := time.Now()
 	for _, a := range losers {
-		if _, ok := p.asked[a.ID]; !ok {
+		began, ok := p.asked[a.ID]
+		if !ok {
 			continue
 		}
 		delete(p.asked, a.ID)
-		p.entry.standings.answered(a.Target, 0)
+		p.entry.standings.gaveUp(a.Target, now.Sub(began))
 		to := p.entry.ports(a.Target)
 		if grouped[to] == nil {
 			grouped[to] = &peer.Cancel{Query: p.number}
--- a/internal/daemon/keeper.go
+++ b/internal/daemon/keeper.go
@@ -81,8 +81,6 @@
 type heard struct {
 	report exchange.Report
 	err    error
-	probe  bool
-	opened time.Time
 }
 
 // running is an exchange under way.
@@ -123,6 +121,7 @@
 	sequence int
 	plain    bool
 	suspect  time.Time
+	lastEnd  time.Time
 }
 
 func newKeeper(b *settings.Target, t *tally.Tally, plain bool) *keeper {
@@ -183,7 +182,7 @@
 func (k *keeper) poll(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := reportEvery
-		if k.ask(ctx, false) != nil {
+		if k.ask(ctx) != nil {
 			wait = lostEvery
 		}
 		select {
@@ -193,13 +192,13 @@
 	}
 }
 
-func (k *keeper) ask(ctx context.Context, probe bool) error {
-	began := time.Now()
+// ask asks the target for its report.
+func (k *keeper) ask(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, k.target.Policy().SilentAfter())
 	defer cancel()
 	r, err := k.link.report(limited)
 	if ctx.Err() == nil {
-		k.inbox.Push(event{heard: &heard{r, err, probe, began}})
+		k.inbox.Push(event{heard: &heard{r, err}})
 	}
 	return err
 }
@@ -225,7 +224,7 @@
 			k.handle(ctx, now, e)
 		}
 		k.gate.Expire(now)
-		k.condemnStalled(ctx, now)
+		k.suspectStalled(now)
 		k.dispatch(ctx, now)
 		if t := k.gate.TakeTurn(); t != target.TurnNone {
 			k.tally.Add("target-cold-"+string(t), 1)
@@ -391,6 +390,7 @@
 // end settles the jobs of an exchange.
 func (k *keeper) end(now time.Time, e ended) {
 	delete(k.running, e.run.slot)
+	k.lastEnd = now
 	if e.err != nil {
 		k.failed(e)
 		return
@@ -501,9 +501,6 @@
 	if h.err == nil {
 		k.note(h.report)
 		k.gate.Heard(now, heardReport(h.report))
-		if h.probe {
-			k.condemnBefore(h.opened)
-		}
 		return
 	}
 	if errors.Is(h.err, errUnsent) {
@@ -563,8 +560,9 @@
 	}
 }
 
-// stallAt returns when the oldest exchange under way becomes suspect, or the
-// zero time.
+// stallAt returns when the target is to be taken for quiet: when the oldest
+// exchange under way has no answer for too long, and no other has ended since
+// it began. It returns the zero time when there is none.
 func (k *keeper) stallAt() time.Time {
 	usual := k.gate.Usual()
 	if usual == 0 || k.plain {
@@ -573,42 +571,24 @@
 	var first time.Time
 	for _, r := range k.running {
 		at := r.began.Add(max(stallLeast, stallFactor*usual))
-		if r.began.After(k.suspect) && (first.IsZero() || at.Before(first)) {
+		if r.began.After(k.suspect) && r.began.After(k.lastEnd) && (first.IsZero() || at.Before(first)) {
 			first = at
 		}
 	}
 	return first
 }
 
-// condemnStalled tests the target over a new connection when an exchange is
-// suspect.
-func (k *keeper) condemnStalled(ctx context.Context, now time.Time) {
+// suspectStalled closes the idle connections of a target that has gone quiet,
+// so that what is sent next goes over new ones. An exchange that was under way
+// is given up, and its connection closed, when its deadline has passed.
+func (k *keeper) suspectStalled(now time.Time) {
 	at := k.stallAt()
 	if at.IsZero() || now.Before(at) {
 		return
 	}
 	k.suspect = now
+	k.tally.Add("targets-stalled", 1)
 	k.link.close()
-	k.done.Go(func() { _ = k.ask(ctx, true) })
-}
-
-// condemnBefore lets go of the searches that were suspect before a test that
-// the target has answered, so that they are asked elsewhere. Their slots stay
-// taken, and their connections are closed when their deadlines have passed.
-func (k *keeper) condemnBefore(tested time.Time) {
-	usual := k.gate.Usual()
-	for _, r := range k.running {
-		if tested.Sub(r.began) < max(stallLeast, stallFactor*usual) {
-			continue
-		}
-		k.tally.Add("exchanges-stalled", 1)
-		reason := query.ReasonStalled
-		for _, j := range r.jobs {
-			if j.ask.Operation == nil {
-				k.tell(j, peer.Told{Outcome: string(exchange.ResultOutcomeUnknown), Reason: &reason})
-			}
-		}
-	}
 }
 
 // abandon answers everything when the keeper ends.
--- a/internal/daemon/survey.go
+++ b/internal/daemon/survey.go
@@ -18,15 +18,19 @@
 const (
 	// surveys is the number of hosts in the fleet that compare the hosts in the
 	// store with the record of members each second.
-	surveys = 2
+	surveys = 1
 	// surveyEvery is how often a host draws whether it is one of them.
 	surveyEvery = time.Second
 )
 
-// read takes the record of members from the store.
+// read takes the record of members from the store if it is newer than the one
+// known; the answer is empty when it is not.
 func (f *fleet) read(ctx context.Context) error {
+	f.mu.Lock()
+	after := f.revision
+	f.mu.Unlock()
 	asked := time.Now()
-	e, err := f.store.Get(ctx, membersKey)
+	e, err := f.store.Watch(ctx, membersKey, after, 0)
 	if errors.Is(err, store.ErrNotFound) {
 		return nil
 	}
@@ -111,7 +115,7 @@
 }
 
 // survey is the duty that compares the hosts in the store with the record of
-// members. Each second about two hosts of the fleet do so.
+// members. Each second about one host of the fleet does so.
 func (f *fleet) survey(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause(ctx, surveyEvery/2+rand.N(surveyEvery))
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"fescuerill/internal/schema/peer"
@@ -25,6 +24,8 @@
 	// an answer before it is tested, and how long the test may take.
 	silentAfter = 150 * time.Millisecond
 	checkEvery  = 50 * time.Millisecond
+	// IdleAfter is how long a connection is kept on which nothing is asked.
+	IdleAfter = 30 * time.Second
 )
 
 // ErrDown is returned by calls while there is no connection.
@@ -42,21 +43,27 @@
 	Condemned()
 }
 
-// Link asks the owner at one address. New makes one and starts its
-// goroutines.
+// Link asks the daemon at one address. The connection is made when it is first
+// needed and given up when it is idle. New makes a link and starts its
+// goroutine.
 type Link struct {
 	address  string
 	receiver Receiver
 	traffic  *Traffic
 	out      ring.Ring[outgoing]
-	conn     atomic.Pointer[jsonrpc2.Conn]
+	needed   chan struct{}
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 
 	mu      sync.Mutex
+	conn    *jsonrpc2.Conn
+	up      chan struct{}
+	refused bool
 	pending map[partKey]pendingPart
 	heard   time.Time
 	asked   time.Time
+	used    time.Time
+	busy    chan struct{}
 }
 
 type outgoing struct {
@@ -76,7 +83,10 @@
 // New returns a link to the peer at the IP address and port.
 func New(address string, r Receiver, t *Traffic) *Link {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &Link{address: address, receiver: r, traffic: t, cancel: cancel, pending: map[partKey]pendingPart{}}
+	l := &Link{
+		address: address, receiver: r, traffic: t, cancel: cancel, pending: map[partKey]pendingPart{},
+		needed: make(chan struct{}, 1), busy: make(chan struct{}, 1), up: make(chan struct{}),
+	}
 	l.done.Go(func() { l.run(ctx) })
 	return l
 }
@@ -87,25 +97,36 @@
 	l.done.Wait()
 }
 
-// Up reports whether there is a connection.
-func (l *Link) Up() bool { return l.conn.Load() != nil }
+// wake sends on a channel that holds one value, unless one is there.
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
 
 // Ask sends parts. Parts that cannot be sent are handed to the receiver as
-// lost.
+// lost; that is so at once while the peer does not accept connections.
 func (l *Link) Ask(a peer.Ask) {
-	if !l.Up() {
-		l.receiver.Lost(a, false)
-		return
-	}
 	l.mu.Lock()
-	for _, p := range a.Parts {
-		l.pending[partKey{a.Query, p.ID}] = pendingPart{part: p}
+	refused := l.refused
+	if !refused {
+		l.used = time.Now()
+		for _, p := range a.Parts {
+			l.pending[partKey{a.Query, p.ID}] = pendingPart{part: p}
+		}
 	}
 	l.mu.Unlock()
+	if refused {
+		l.receiver.Lost(a, false)
+		return
+	}
 	if !l.out.Push(outgoing{ask: &a}) {
 		l.settle(a)
 		l.receiver.Lost(a, false)
 	}
+	wake(l.needed)
+	wake(l.busy)
 }
 
 // Cancel says that parts are no longer wanted.
@@ -115,27 +136,43 @@
 		delete(l.pending, partKey{c.Query, id})
 	}
 	l.mu.Unlock()
-	if l.Up() {
-		l.out.Push(outgoing{cancel: &c})
-	}
+	l.out.Push(outgoing{cancel: &c})
 }
 
-// Call asks for an answer to a request.
+// Call asks for an answer to a request. It waits for a connection as long as
+// ctx allows.
 func (l *Link) Call(ctx context.Context, method string, params, result any) error {
-	c := l.conn.Load()
-	if c == nil {
-		return ErrDown
+	c, err := l.connected(ctx)
+	if err != nil {
+		return err
 	}
 	return errors.Wrap(c.Call(ctx, method, params, result), method)
 }
 
-// Notify sends a message without an answer.
-func (l *Link) Notify(ctx context.Context, method string, params any) error {
-	c := l.conn.Load()
-	if c == nil {
-		return ErrDown
+// connected returns the connection, and waits for one if there is none.
+func (l *Link) connected(ctx context.Context) (*jsonrpc2.Conn, error) {
+	l.mu.Lock()
+	c, up, refused := l.conn, l.up, l.refused
+	l.used = time.Now()
+	l.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	if refused {
+		return nil, ErrDown
 	}
-	return errors.Wrap(c.Notify(ctx, method, params), method)
+	wake(l.needed)
+	select {
+	case <-up:
+	case <-ctx.Done():
+		return nil, errors.Wrap(ErrDown, ctx.Err().Error())
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil {
+		return nil, ErrDown
+	}
+	return l.conn, nil
 }
 
 func (l *Link) settle(a peer.Ask) {
@@ -146,34 +183,49 @@
 	}
 }
 
-// run keeps a connection up, with a back-off between tries.
+// run makes a connection whenever one is needed, with a back-off after a
+// failure.
 func (l *Link) run(ctx context.Context) {
 	wait := backoffBase
 	for ctx.Err() == nil {
-		began := time.Now()
-		l.connect(ctx)
-		if time.Since(began) > backoffCap {
+		select {
+		case <-l.needed:
+		case <-ctx.Done():
+			return
+		}
+		if l.connect(ctx) {
 			wait = backoffBase
+			continue
 		}
 		select {
 		case <-time.After(wait/2 + rand.N(wait)):
 		case <-ctx.Done():
 		}
 		wait = min(backoffCap, wait*2)
+		l.mu.Lock()
+		l.refused = false
+		l.mu.Unlock()
 	}
 }
 
-// connect dials and serves one connection until it ends.
-func (l *Link) connect(ctx context.Context) {
+// connect dials and serves one connection until it ends. It reports whether
+// there was one that did not end at once.
+func (l *Link) connect(ctx context.Context) bool {
 	d := net.Dialer{Timeout: dialTimeout}
 	raw, err := d.DialContext(ctx, "tcp", l.address)
 	if err != nil {
-		return
+		l.down(true)
+		l.lose()
+		return false
 	}
+	began := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := newConn(ctx, raw, l.traffic, l.handle)
-	l.conn.Store(c)
+	l.mu.Lock()
+	l.conn = c
+	close(l.up)
+	l.mu.Unlock()
 	var duties sync.WaitGroup
 	duties.Go(func() { l.send(ctx, c) })
 	duties.Go(func() { l.check(ctx, c) })
@@ -181,11 +233,27 @@
 	case <-c.DisconnectNotify():
 	case <-ctx.Done():
 	}
-	l.conn.Store(nil)
+	lasted := time.Since(began) > backoffCap
+	l.down(!lasted)
 	_ = c.Close()
 	cancel()
 	duties.Wait()
 	l.lose()
+	return lasted
+}
+
+// down notes that there is no connection. While refused is set nothing is
+// taken.
+func (l *Link) down(refused bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil {
+		// Those who wait for this connection are told that there is none.
+		close(l.up)
+	}
+	l.conn = nil
+	l.refused = refused
+	l.up = make(chan struct{})
 }
 
 func (l *Link) handle(_ context.Context, method string, params json.RawMessage) (any, error) {
@@ -249,30 +317,61 @@
 	return m
 }
 
-// check is the duty that notices a connection on which nothing comes back.
+// check is the duty that notices a connection on which nothing comes back, and
+// one that is idle. It sleeps while nothing is under way.
 func (l *Link) check(ctx context.Context, c *jsonrpc2.Conn) {
-	for {
+	for ctx.Err() == nil {
+		if !l.underWay() {
+			select {
+			case <-l.busy:
+			case <-time.After(IdleAfter):
+			case <-ctx.Done():
+				return
+			}
+			if l.idle(time.Now()) {
+				_ = c.Close()
+				return
+			}
+		}
 		select {
 		case <-time.After(checkEvery):
 		case <-ctx.Done():
 			return
 		}
-		if !l.quiet(time.Now()) {
-			continue
+		if l.quiet(time.Now()) && !l.test(ctx, c) {
+			return
 		}
-		test, cancel := context.WithTimeout(ctx, silentAfter)
-		var pong struct{}
-		err := c.Call(test, MethodPing, struct{}{}, &pong)
-		cancel()
-		if err != nil && ctx.Err() == nil {
+	}
+}
+
+// test calls the peer and closes the connection when no answer comes.
+func (l *Link) test(ctx context.Context, c *jsonrpc2.Conn) bool {
+	limited, cancel := context.WithTimeout(ctx, silentAfter)
+	defer cancel()
+	var pong struct{}
+	if err := c.Call(limited, MethodPing, struct{}{}, &pong); err != nil {
+		if ctx.Err() == nil {
 			l.receiver.Condemned()
-			_ = c.Close()
-			return
 		}
-		l.mu.Lock()
-		l.heard = time.Now()
-		l.mu.Unlock()
+		_ = c.Close()
+		return false
 	}
+	l.mu.Lock()
+	l.heard = time.Now()
+	l.mu.Unlock()
+	return true
+}
+
+func (l *Link) underWay() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.pending) > 0
+}
+
+func (l *Link) idle(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.pending) == 0 && now.Sub(l.used) >= IdleAfter
 }
 
 // quiet reports whether parts are under way and nothing has come back for too
--- a/query/query.go
+++ b/query/query.go
@@ -12,6 +12,10 @@
 // apart.
 const maxTries = 16
 
+// urgentAfter is the number of times the hedge delay after which a hedge is
+// urgent.
+const urgentAfter = 3
+
 // Backoff bounds between two asks of the same target.
 const (
 	backoffBase = 4 * time.Millisecond
@@ -75,8 +79,8 @@
 // Spender grants extra requests.
 type Spender interface {
 	// Spend takes one extra request out of the budget of a service and reports
-	// whether there was one.
-	Spend(service string) bool
+	// whether there was one. One that is not urgent leaves a reserve.
+	Spend(service string, urgent bool) bool
 }
 
 // Options are the settings of a query.
@@ -119,9 +123,10 @@
 	status status
 	tries  []try
 	hedged bool
-	asked  time.Time
-	retry  time.Time
-	reason string
+	// asked is when the part was last asked, hedgeAt when it is late, and retry
+	// when it is asked again.
+	asked, hedgeAt, retry time.Time
+	reason                string
 }
 
 // Query is one search under one snapshot. Reset it before use.
@@ -197,10 +202,11 @@
 	}
 	id := i*maxTries + len(p.tries)
 	p.tries = append(p.tries, try{target: target, open: true})
-	p.asked = now
 	p.retry = time.Time{}
+	p.asked = now
+	p.hedgeAt = now.Add(q.options.HedgeAfter)
 	if q.options.HedgeAfter > 0 && !p.hedged {
-		q.wakeBy(now.Add(q.options.HedgeAfter))
+		q.wakeBy(p.hedgeAt)
 	}
 	q.asks = append(q.asks, Ask{ID: id, Target: target, Shard: &q.shards[i], Extra: extra})
 	return true
@@ -329,7 +335,7 @@
 	}
 	next := q.chooser.First(q.shards[i].Holders(), q.skip(i))
 	if next != "" {
-		if !t.Untouched && !q.spend(i) {
+		if !t.Untouched && !q.spend(i, true) {
 			q.settle(i, t.Reason)
 			return
 		}
@@ -347,8 +353,8 @@
 	q.wakeBy(p.retry)
 }
 
-func (q *Query) spend(i int) bool {
-	if q.budget.Spend(q.shards[i].Service()) {
+func (q *Query) spend(i int, urgent bool) bool {
+	if q.budget.Spend(q.shards[i].Service(), urgent) {
 		q.counts.Extra++
 		return true
 	}
@@ -393,12 +399,13 @@
 }
 
 func (q *Query) hedgeDue(now time.Time, i int) {
-	at := q.parts[i].asked.Add(q.options.HedgeAfter)
-	if now.Before(at) {
-		q.wakeBy(at)
-		return
+	p := &q.parts[i]
+	if !now.Before(p.hedgeAt) && !q.hedge(now, i) {
+		p.hedgeAt = now.Add(q.options.HedgeAfter)
+	}
+	if !p.hedged {
+		q.wakeBy(p.hedgeAt)
 	}
-	q.hedge(now, i)
 }
 
 // again asks any holder of shard i after a back-off.
@@ -406,24 +413,26 @@
 	p := &q.parts[i]
 	p.retry = time.Time{}
 	target := q.chooser.First(q.shards[i].Holders(), func(string) bool { return false })
-	if target == "" || !q.spend(i) || !q.ask(now, i, target, true) {
+	if target == "" || !q.spend(i, true) || !q.ask(now, i, target, true) {
 		q.settle(i, p.reason)
 		return
 	}
 	q.counts.Retries++
 }
 
-func (q *Query) hedge(now time.Time, i int) {
+// hedge asks another warm holder for a part that is late. It reports whether
+// there was one and the budget allowed it; if not, it is tried again later.
+func (q *Query) hedge(now time.Time, i int) bool {
 	p := &q.parts[i]
-	p.hedged = true
 	target := q.chooser.Hedge(q.shards[i].Holders(), q.skip(i))
-	if target == "" || !q.spend(i) {
-		return
-	}
-	if q.ask(now, i, target, true) {
-		p.tries[len(p.tries)-1].hedge = true
-		q.counts.Hedges++
+	urgent := !now.Before(p.asked.Add(urgentAfter * q.options.HedgeAfter))
+	if target == "" || !q.spend(i, urgent) || !q.ask(now, i, target, true) {
+		return false
 	}
+	p.hedged = true
+	p.tries[len(p.tries)-1].hedge = true
+	q.counts.Hedges++
+	return true
 }
 
 // Next returns when Tick is to be called again, at the latest the deadline.
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -33,7 +33,7 @@
 
 type purse int
 
-func (p *purse) Spend(string) bool {
+func (p *purse) Spend(string, bool) bool {
 	*p--
 	return *p >= 0
 }
--- a/query/reason.go
+++ b/query/reason.go
@@ -13,7 +13,6 @@
 	ReasonOwnerLost    = "owner-lost"
 	ReasonTargetLost   = "target-lost"
 	ReasonSilent       = "silent-connection"
-	ReasonStalled      = "stalled"
 	ReasonDeadline     = "deadline"
 	ReasonNoHolder     = "no-holder"
 	ReasonUncharted    = "uncharted"
--- a/store/client.go
+++ b/store/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"fescuerill/internal/schema/platform"
@@ -28,11 +29,44 @@
 type Client struct {
 	base string
 	http *http.Client
+	// bytes counts what was sent and received.
+	bytes atomic.Int64
 }
 
 // NewClient returns a client for the service at the IP address and port.
 func NewClient(address string) *Client {
-	return &Client{base: "http://" + address, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+	c := &Client{base: "http://" + address}
+	c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: c.dial}}
+	return c
+}
+
+// Bytes returns the bytes sent to and received from the service.
+func (c *Client) Bytes() int64 { return c.bytes.Load() }
+
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, network, address)
+	return &countedConn{raw, &c.bytes}, err
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements io.Writer.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
 }
 
 // Close closes idle connections.
