Code the messages that carry parts as MessagePack; tests that bring faults about

Change: one connection carries JSON-RPC calls and, for asks and answers of parts, MessagePack arrays generated from the same schema.

Ruled out: one call for each part (more framing, same coding), streaming JSON (the time is in decoding, not in buffering).

--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -13,7 +13,7 @@
 		Use:   "bench",
 		Short: "Make the tables of the measurements",
 	}
-	c.AddCommand(newBenchScenarios(), newBenchControl())
+	c.AddCommand(newBenchScenarios(), newBenchControl(), newBenchHop())
 	return c
 }
 
@@ -53,3 +53,19 @@
 	c.Flags().DurationVar(&lease, "lease-time", 6*time.Second, "time after which the lease of a host lapses")
 	return c
 }
+
+func newBenchHop() *cobra.Command {
+	var rates []float64
+	var seed uint64
+	c := &cobra.Command{
+		Use:   "hop",
+		Short: "The way through owners against hosts that each ask the targets themselves",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return bench.Hop(c.OutOrStdout(), rates, seed)
+		},
+	}
+	c.Flags().Float64SliceVar(&rates, "rates", []float64{50, 200, 400}, "searches a second")
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the run")
+	return c
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -328,3 +328,7 @@
 
 // Revision returns the revision of the settings in force, 0 before the first.
 func (d *Daemon) Revision() int { return d.keeper.current() }
+
+// TargetConnections returns the connections opened to the targets that the host
+// owns.
+func (d *Daemon) TargetConnections() int64 { return d.ownership.connections() }
--- a/internal/daemon/ownership.go
+++ b/internal/daemon/ownership.go
@@ -346,3 +346,14 @@
 		k.close()
 	}
 }
+
+// connections returns the connections opened to the targets that are owned.
+func (o *ownership) connections() int64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var sum int64
+	for _, k := range o.keepers {
+		sum += k.link.opened.Load()
+	}
+	return sum
+}
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -15,8 +15,6 @@
 
 // Methods of the protocol.
 const (
-	MethodAsk     = "ask"
-	MethodTell    = "tell"
 	MethodTargets = "targets"
 	MethodPing    = "ping"
 	MethodProbe   = "probe"
@@ -53,13 +51,9 @@
 // returns.
 type handlerFunc func(ctx context.Context, method string, params json.RawMessage) (any, error)
 
-// Handle implements jsonrpc2.Handler. Notifications are handled in the order in
-// which they come; a call, whose answer may take time, does not hold them up.
+// Handle implements jsonrpc2.Handler. A call, whose answer may take time, does
+// not hold up what comes after it.
 func (h handlerFunc) Handle(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
-	if r.Notif {
-		h.handle(ctx, c, r)
-		return
-	}
 	go h.handle(ctx, c, r)
 }
 
@@ -79,12 +73,15 @@
 	}
 }
 
-func newConn(ctx context.Context, raw net.Conn, t *Traffic, h handlerFunc) *jsonrpc2.Conn {
-	c := codec{
-		sent:     func(n int) { t.sent.Add(int64(n)) },
-		received: func(n int) { t.received.Add(int64(n)) },
-	}
-	return jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(boundedConn{raw}, c), h, jsonrpc2.SetLogger(discardLogger{}))
+// conn is a connection to another daemon.
+type conn struct {
+	*jsonrpc2.Conn
+	stream *stream
+}
+
+func newConn(ctx context.Context, raw net.Conn, t *Traffic, h handlerFunc, data func(kind, []byte) error) *conn {
+	s := newStream(boundedConn{raw}, t, data)
+	return &conn{jsonrpc2.NewConn(ctx, s, h, jsonrpc2.SetLogger(discardLogger{})), s}
 }
 
 // discardLogger drops the library's own messages; what matters is counted.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -12,7 +12,6 @@
 	"fescuerill/ring"
 
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/jsonrpc2"
 )
 
 // Times of a link.
@@ -56,7 +55,7 @@
 	done     sync.WaitGroup
 
 	mu      sync.Mutex
-	conn    *jsonrpc2.Conn
+	conn    *conn
 	up      chan struct{}
 	refused bool
 	pending map[partKey]pendingPart
@@ -150,7 +149,7 @@
 }
 
 // connected returns the connection, and waits for one if there is none.
-func (l *Link) connected(ctx context.Context) (*jsonrpc2.Conn, error) {
+func (l *Link) connected(ctx context.Context) (*conn, error) {
 	l.mu.Lock()
 	c, up, refused := l.conn, l.up, l.refused
 	l.used = time.Now()
@@ -221,7 +220,7 @@
 	began := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c := newConn(ctx, raw, l.traffic, l.handle)
+	c := newConn(ctx, raw, l.traffic, noCalls, l.tell)
 	l.mu.Lock()
 	l.conn = c
 	close(l.up)
@@ -256,13 +255,19 @@
 	l.up = make(chan struct{})
 }
 
-func (l *Link) handle(_ context.Context, method string, params json.RawMessage) (any, error) {
-	if method != MethodTell {
-		return nil, errors.Errorf("link: unexpected method %q", method)
+// noCalls refuses calls: the side that accepts a connection does not call.
+func noCalls(_ context.Context, method string, _ json.RawMessage) (any, error) {
+	return nil, errors.Errorf("link: unexpected method %q", method)
+}
+
+// tell takes answers to parts.
+func (l *Link) tell(k kind, text []byte) error {
+	if k != kindTell {
+		return ErrKind
 	}
 	var t peer.Tells
-	if err := json.Unmarshal(params, &t); err != nil {
-		return nil, errors.Wrap(err, "link: tell")
+	if _, err := t.UnmarshalMsg(text); err != nil {
+		return errors.Wrap(err, "link: tell")
 	}
 	l.mu.Lock()
 	l.heard = time.Now()
@@ -271,11 +276,11 @@
 	}
 	l.mu.Unlock()
 	l.receiver.Tell(t)
-	return nil, nil
+	return nil
 }
 
 // send is the duty that drains what is to go out.
-func (l *Link) send(ctx context.Context, c *jsonrpc2.Conn) {
+func (l *Link) send(ctx context.Context, c *conn) {
 	var batch []outgoing
 	for {
 		select {
@@ -288,7 +293,7 @@
 			continue
 		}
 		m := l.pack(batch)
-		if err := c.Notify(ctx, MethodAsk, m); err != nil {
+		if err := c.stream.writeData(kindAsk, &m); err != nil {
 			_ = c.Close()
 			return
 		}
@@ -319,7 +324,7 @@
 
 // check is the duty that notices a connection on which nothing comes back, and
 // one that is idle. It sleeps while nothing is under way.
-func (l *Link) check(ctx context.Context, c *jsonrpc2.Conn) {
+func (l *Link) check(ctx context.Context, c *conn) {
 	for ctx.Err() == nil {
 		if !l.underWay() {
 			select {
@@ -345,7 +350,7 @@
 }
 
 // test calls the peer and closes the connection when no answer comes.
-func (l *Link) test(ctx context.Context, c *jsonrpc2.Conn) bool {
+func (l *Link) test(ctx context.Context, c *conn) bool {
 	limited, cancel := context.WithTimeout(ctx, silentAfter)
 	defer cancel()
 	var pong struct{}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,178 @@
+package link_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"fescuerill/internal/link"
+	"fescuerill/internal/schema/peer"
+)
+
+// answering is a Handler that answers each part at once.
+type answering struct {
+	hits []peer.Hit
+}
+
+func (a answering) Ask(t *link.Teller, asks peer.Asks) {
+	for _, q := range asks.Queries {
+		for _, p := range q.Parts {
+			t.Tell(peer.Told{Query: q.Query, ID: p.ID, Target: p.Target, Snapshot: q.Snapshot, Outcome: "done", Hits: a.hits})
+		}
+	}
+}
+
+func (answering) Call(context.Context, string, json.RawMessage) (any, error) { return struct{}{}, nil }
+func (answering) Dropped(error)                                              {}
+
+// receiving collects what comes back.
+type receiving struct {
+	told      chan int
+	lost      chan bool
+	condemned chan struct{}
+}
+
+func newReceiving() receiving {
+	return receiving{make(chan int, 100_000), make(chan bool, 100), make(chan struct{}, 100)}
+}
+
+func (r receiving) Tell(t peer.Tells)          { r.told <- len(t.Parts) }
+func (r receiving) Lost(_ peer.Ask, sent bool) { r.lost <- sent }
+func (r receiving) Condemned()                 { r.condemned <- struct{}{} }
+
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return l
+}
+
+func ask(parts int) peer.Ask {
+	a := peer.Ask{Query: 1, Snapshot: 1, Terms: "clock tower", Limit: 10, BudgetUs: 50_000}
+	for i := range parts {
+		a.Parts = append(a.Parts, peer.Part{ID: i, Target: "dispatch-desk/dispatch-desk-01/a", Shard: i, Seen: 1234567})
+	}
+	return a
+}
+
+func TestAskIsAnsweredOverTheLink(t *testing.T) {
+	var traffic link.Traffic
+	s := link.Serve(listen(t), answering{}, &traffic)
+	defer s.Close()
+	r := newReceiving()
+	l := link.New(s.Address(), r, &traffic)
+	defer l.Close()
+	l.Ask(ask(3))
+	got := 0
+	for got < 3 {
+		got += <-r.told
+	}
+	assert.Equal(t, 3, got)
+}
+
+func TestAskToADeadPeerIsLostUnsent(t *testing.T) {
+	dead := listen(t)
+	address := dead.Addr().String()
+	require.NoError(t, dead.Close())
+	r := newReceiving()
+	l := link.New(address, r, &link.Traffic{})
+	defer l.Close()
+	l.Ask(ask(1))
+	assert.False(t, <-r.lost, "nothing was sent")
+}
+
+// TestSilentConnectionIsCondemned lets a peer accept and never answer.
+func TestSilentConnectionIsCondemned(t *testing.T) {
+	silent := listen(t)
+	defer silent.Close()
+	go func() {
+		for {
+			if _, err := silent.Accept(); err != nil {
+				return
+			}
+		}
+	}()
+	r := newReceiving()
+	l := link.New(silent.Addr().String(), r, &link.Traffic{})
+	defer l.Close()
+	l.Ask(ask(1))
+	<-r.condemned
+	assert.True(t, <-r.lost, "the ask may have been taken")
+}
+
+func TestRubbishEndsTheConnection(t *testing.T) {
+	s := link.Serve(listen(t), answering{}, &link.Traffic{})
+	defer s.Close()
+	for _, rubbish := range []string{"\xff\xff\xff\xff\xff\xff\xff\xff\x01", "\x02j{]", "\x02a{]", "\x01x!", "GET / HTTP/1.1\r\nHost: 127.0.0.1\r\nUser-Agent: a program that takes this for another port\r\n\r\n"} {
+		c, err := net.Dial("tcp", s.Address())
+		require.NoError(t, err)
+		_, err = c.Write([]byte(rubbish))
+		require.NoError(t, err)
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+		_, err = c.Read(make([]byte, 1))
+		assert.Error(t, err, "closed by the peer")
+		assert.NotContains(t, err.Error(), "timeout")
+		_ = c.Close()
+	}
+}
+
+func hits(n int) []peer.Hit {
+	out := make([]peer.Hit, n)
+	for i := range out {
+		out[i] = peer.Hit{Document: fmt.Sprintf("OPERATORS.md#%d@12", i), Score: 0.734, Text: "A data centre that is taken out gets no new work within"}
+	}
+	return out
+}
+
+// BenchmarkHop sends the parts of one query over a link and waits for their
+// answers.
+func BenchmarkHop(b *testing.B) {
+	for _, found := range []int{0, 10} {
+		for _, parts := range []int{1, 4, 16, 64} {
+			b.Run(fmt.Sprintf("hits=%d/parts=%d", found, parts), func(b *testing.B) {
+				var traffic link.Traffic
+				s := link.Serve(listen(b), answering{hits(found)}, &traffic)
+				defer s.Close()
+				r := newReceiving()
+				l := link.New(s.Address(), r, &traffic)
+				defer l.Close()
+				b.ReportAllocs()
+				for b.Loop() {
+					l.Ask(ask(parts))
+					for got := 0; got < parts; {
+						got += <-r.told
+					}
+				}
+				n := float64(b.N) * float64(parts)
+				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/n, "ns/part")
+				b.ReportMetric(float64(traffic.Sent())/n, "B/part")
+			})
+		}
+	}
+}
+
+// FuzzAsks reads parts as they come from another daemon.
+func FuzzAsks(f *testing.F) {
+	whole := peer.Asks{Queries: []peer.Ask{ask(2)}, Cancels: []peer.Cancel{{Query: 1, Ids: []int{1}}}}
+	text, err := whole.MarshalMsg(nil)
+	require.NoError(f, err)
+	f.Add(text)
+	f.Add([]byte{0x92, 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var a peer.Asks
+		if _, err := a.UnmarshalMsg(text); err != nil {
+			return
+		}
+		again, err := a.MarshalMsg(nil)
+		require.NoError(t, err)
+		var b peer.Asks
+		_, err = b.UnmarshalMsg(again)
+		require.NoError(t, err)
+	})
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -10,7 +10,6 @@
 	"fescuerill/ring"
 
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/jsonrpc2"
 )
 
 // Handler answers what comes from other daemons. Its methods do not block.
@@ -91,11 +90,17 @@
 	defer cancel()
 	t := &Teller{seen: map[string]string{}}
 	c := newConn(ctx, raw, s.traffic, func(ctx context.Context, method string, params json.RawMessage) (any, error) {
-		answer, err := s.dispatch(ctx, t, method, params)
+		answer, err := s.call(ctx, method, params)
 		if err != nil {
 			s.handler.Dropped(err)
 		}
 		return answer, err
+	}, func(k kind, text []byte) error {
+		err := s.ask(t, k, text)
+		if err != nil {
+			s.handler.Dropped(err)
+		}
+		return err
 	})
 	s.done.Go(func() { t.send(ctx, c) })
 	select {
@@ -105,24 +110,28 @@
 	_ = c.Close()
 }
 
-func (s *Server) dispatch(ctx context.Context, t *Teller, method string, params json.RawMessage) (any, error) {
-	switch method {
-	case MethodPing:
+func (s *Server) call(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	if method == MethodPing {
 		return struct{}{}, nil
-	case MethodAsk:
-		var a peer.Asks
-		if err := json.Unmarshal(params, &a); err != nil {
-			return nil, errors.Wrap(err, "link: ask")
-		}
-		s.handler.Ask(t, a)
-		return nil, nil
-	default:
-		return s.handler.Call(ctx, method, params)
 	}
+	return s.handler.Call(ctx, method, params)
+}
+
+// ask takes parts.
+func (s *Server) ask(t *Teller, k kind, text []byte) error {
+	if k != kindAsk {
+		return ErrKind
+	}
+	var a peer.Asks
+	if _, err := a.UnmarshalMsg(text); err != nil {
+		return errors.Wrap(err, "link: ask")
+	}
+	s.handler.Ask(t, a)
+	return nil
 }
 
 // send is the duty that drains answers.
-func (t *Teller) send(ctx context.Context, c *jsonrpc2.Conn) {
+func (t *Teller) send(ctx context.Context, c *conn) {
 	var batch []told
 	for {
 		select {
@@ -142,9 +151,12 @@
 				m.Targets = append(m.Targets, *b.state)
 			}
 		}
-		if c.Notify(ctx, MethodTell, m) != nil {
+		if c.stream.writeData(kindTell, &m) != nil {
 			_ = c.Close()
 			return
 		}
 	}
 }
+
+// Address returns the IP address and port at which links are accepted.
+func (s *Server) Address() string { return s.listener.Addr().String() }
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -158,3 +158,6 @@
 	}
 	return b.String()
 }
+
+// DataCentre returns the data centre of the target with the path.
+func (d *Deployment) DataCentre(path string) string { return d.centres[path] }
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -31,7 +31,11 @@
 	// short ones.
 	LeaseTime, AddressValidity time.Duration
 	Admitted                   int
-	Log                        *slog.Logger
+	// Separate gives each daemon a store of its own, so that each takes itself
+	// for the owner of all targets. It stands for hosts that count slots each
+	// for themselves.
+	Separate bool
+	Log      *slog.Logger
 }
 
 // Trial is a deployment under way. Start makes one.
@@ -39,6 +43,7 @@
 	options    Options
 	store      *standin.Store
 	server     *standin.Server
+	separate   []*standin.Server
 	client     *store.Client
 	corpus     *standin.Corpus
 	deployment *standin.Deployment
@@ -88,19 +93,21 @@
 }
 
 // Apply accepts settings.
-func (t *Trial) Apply(text string) error {
+func (t *Trial) Apply(text string) error { return apply(t.client, text) }
+
+func apply(s store.Service, text string) error {
 	tree, err := settings.ParseTree("trial.toml", []byte(text))
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), readyTime)
 	defer cancel()
-	present, _, err := settings.Current(ctx, t.client)
+	present, _, err := settings.Current(ctx, s)
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return err
 	}
 	id := fmt.Sprintf("trial-%d-%d", present.Revision+1, time.Now().UnixNano())
-	_, err = settings.Apply(ctx, t.client, tree, settings.Change{ID: id, Author: "trial", Base: present.Revision})
+	_, err = settings.Apply(ctx, s, tree, settings.Change{ID: id, Author: "trial", Base: present.Revision})
 	return err
 }
 
@@ -120,8 +127,12 @@
 	if err != nil {
 		return nil, err
 	}
+	address, err := t.storeFor()
+	if err != nil {
+		return nil, err
+	}
 	text := fmt.Sprintf("id = %q\ndata-centre = %q\ncaller-address = %q\npeer-address = %q\nstore = %q\naddress-validity = %q\nlease-time = %q\nadmitted = %d\n",
-		id, dataCentre, callers, peers, t.server.Address(), t.options.AddressValidity, t.options.LeaseTime, t.options.Admitted)
+		id, dataCentre, callers, peers, address, t.options.AddressValidity, t.options.LeaseTime, t.options.Admitted)
 	node, err := settings.ParseNode(id+".toml", []byte(text))
 	if err != nil {
 		return nil, err
@@ -134,6 +145,21 @@
 	return d, nil
 }
 
+// storeFor returns the address of the store for the next daemon.
+func (t *Trial) storeFor() (string, error) {
+	if !t.options.Separate {
+		return t.server.Address(), nil
+	}
+	s, err := standin.Listen("127.0.0.1:0", &standin.Store{})
+	if err != nil {
+		return "", errors.Wrap(err, "trial: store")
+	}
+	t.separate = append(t.separate, s)
+	own := store.NewClient(s.Address())
+	defer own.Close()
+	return s.Address(), apply(own, t.deployment.Settings())
+}
+
 func freeAddress() (string, error) {
 	var c net.ListenConfig
 	l, err := c.Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -164,7 +190,11 @@
 		}
 		usable += d.Usable()
 	}
-	return usable == len(t.deployment.Paths())
+	wanted := len(t.deployment.Paths())
+	if t.options.Separate {
+		wanted *= len(t.daemons)
+	}
+	return usable == wanted
 }
 
 // Store returns the stand-in for the platform's store.
@@ -216,6 +246,9 @@
 	for _, d := range t.daemons {
 		d.Kill()
 	}
+	for _, s := range t.separate {
+		s.Stop()
+	}
 	if t.deployment != nil {
 		t.deployment.Close()
 	}
@@ -226,3 +259,12 @@
 		t.server.Stop()
 	}
 }
+
+// Connections returns the connections opened to targets so far.
+func (t *Trial) Connections() int64 {
+	var sum int64
+	for _, d := range t.daemons {
+		sum += d.TargetConnections()
+	}
+	return sum
+}
