Hold goodput under overload: lower the admission limit before parts are lost

Cause: "bench goodput" (three hosts, twelve targets that bear 200 searches/s) showed goodput falling from 138 whole answers/s at 200 offered to 51 at 2,000: the limit never went below four queries a host, and it was lowered only after queries had lost parts, so that at equilibrium many did.

Change: the limit may fall to one query, is lowered when a query took more than 70 % of its time, and rises only when it took less than half.

Ruled out: the slots (exchange p50 10 ms, as set, no overruns) and the connections (none opened during the run beyond the first ones).

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -5,30 +5,44 @@
 // Constants of the limiter.
 const (
 	// least is the number of queries that are always admitted.
-	least = 4
+	least = 1
 	// first is the number admitted before anything is known.
 	first = 8
 	// cut is the factor by which overload lowers the limit.
-	cut = 0.9
+	cut = 0.8
+	// quick and slow are the parts of its time that a query takes, below which
+	// the limit may rise and above which it is lowered.
+	quick = 0.5
+	slow  = 0.7
 )
 
+// Ending is how a query ended.
+type Ending struct {
+	// Used is the part of its time that the query took, from 0 to 1.
+	Used float64
+	// Lost says that it lost parts to full queues or to deadlines.
+	Lost bool
+}
+
 // Limiter bounds the queries under way by slow start, additive increase and
 // multiplicative decrease: V. Jacobson, "Congestion Avoidance and Control",
-// SIGCOMM 1988. Reset it before use. It is not safe for use by several
-// goroutines.
+// SIGCOMM 1988. A query that took most of its time lowers the limit as one that
+// lost parts does, so that the limit settles before parts are lost. Reset it
+// before use. It is not safe for use by several goroutines.
 type Limiter struct {
 	most    float64
 	limit   float64
 	running int
 	lastCut time.Time
 	period  time.Duration
-	cut     bool
+	settled bool
 }
 
 // Reset sets the most queries that may be under way. The limit is lowered at
 // most once a period.
 func (l *Limiter) Reset(most int, period time.Duration) {
-	*l = Limiter{most: float64(max(most, least)), limit: float64(min(max(most, least), first)), period: period}
+	m := float64(max(most, least))
+	*l = Limiter{most: m, limit: min(m, first), period: period}
 }
 
 // Limit returns the queries that may be under way now.
@@ -46,19 +60,21 @@
 	return true
 }
 
-// Leave ends an admitted query. Overloaded says that the query lost parts to
-// full queues or to deadlines.
-func (l *Limiter) Leave(now time.Time, overloaded bool) {
+// Leave ends an admitted query.
+func (l *Limiter) Leave(now time.Time, e Ending) {
 	busy := float64(l.running) >= l.limit/2
 	l.running--
 	switch {
-	case overloaded && now.Sub(l.lastCut) >= l.period:
-		l.limit = max(least, l.limit*cut)
-		l.lastCut = now
-		l.cut = true
-	case !overloaded && busy && !l.cut:
-		l.limit = min(l.most, l.limit+1)
-	case !overloaded && busy:
+	case e.Lost || e.Used > slow:
+		if now.Sub(l.lastCut) >= l.period {
+			l.limit = max(least, l.limit*cut)
+			l.lastCut = now
+		}
+		l.settled = true
+	case !busy || e.Used > quick:
+	case l.settled:
 		l.limit = min(l.most, l.limit+1/l.limit)
+	default:
+		l.limit = min(l.most, l.limit+1)
 	}
 }
--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -13,7 +13,7 @@
 		Use:   "bench",
 		Short: "Make the tables of the measurements",
 	}
-	c.AddCommand(newBenchScenarios(), newBenchControl(), newBenchHop())
+	c.AddCommand(newBenchScenarios(), newBenchControl(), newBenchHop(), newBenchGoodput())
 	return c
 }
 
@@ -69,3 +69,19 @@
 	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the run")
 	return c
 }
+
+func newBenchGoodput() *cobra.Command {
+	var rates []float64
+	var seed uint64
+	c := &cobra.Command{
+		Use:   "goodput",
+		Short: "Whole answers in time at rates below and above what the targets bear",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return bench.Goodput(c.OutOrStdout(), rates, seed)
+		},
+	}
+	c.Flags().Float64SliceVar(&rates, "rates", []float64{50, 100, 200, 400, 1000}, "searches a second")
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the run")
+	return c
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -148,10 +148,15 @@
 	return e.limiter.Enter()
 }
 
-func (e *entry) leave(overloaded bool) {
+func (e *entry) leave(s search, lost bool) {
+	now := time.Now()
+	ending := admission.Ending{Lost: lost, Used: float64(now.Sub(s.arrived)) / float64(s.deadline.Sub(s.arrived))}
+	if e.plain {
+		ending = admission.Ending{}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.limiter.Leave(time.Now(), overloaded && !e.plain)
+	e.limiter.Leave(now, ending)
 	e.tally.Gauge("admission-limit", e.limiter.Limit())
 }
 
@@ -190,8 +195,7 @@
 		return e.refuse(s, &p, "overload")
 	}
 	r := e.run(ctx, v, s, p)
-	overloaded := e.overloaded(r.answer.Coverage)
-	e.leave(overloaded)
+	e.leave(s, e.overloaded(r.answer.Coverage))
 	return e.judge(r, p)
 }
 
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -27,6 +27,8 @@
 	// Retry lets callers come back as a refusal asks, for as long as Patience.
 	Retry    bool
 	Patience time.Duration
+	// InTime is the time within which a whole answer counts as good.
+	InTime time.Duration
 	// Check looks at each answer; a text that it returns is a violation.
 	Check func(a caller.Answer) string
 }
@@ -38,6 +40,7 @@
 	Asked       int
 	Answered    int
 	Whole       int
+	Good        int
 	Covered     int
 	Shards      int
 	Refused     map[string]int
@@ -122,7 +125,7 @@
 	} else {
 		a, err = r.once(ctx, c, s)
 	}
-	r.note(time.Since(began), s, a, err, l.Check)
+	r.note(time.Since(began), s, a, err, l)
 }
 
 func (r *Results) once(ctx context.Context, c *caller.Client, s caller.Search) (caller.Answer, error) {
@@ -133,7 +136,7 @@
 	return c.Ask(ctx, hosts[rand.IntN(len(hosts))].Address, s)
 }
 
-func (r *Results) note(took time.Duration, s caller.Search, a caller.Answer, err error, check func(caller.Answer) string) {
+func (r *Results) note(took time.Duration, s caller.Search, a caller.Answer, err error, l Load) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Asked++
@@ -147,12 +150,15 @@
 	r.Shards += len(a.Coverage.Covered) + len(a.Coverage.Missing)
 	if len(a.Coverage.Missing) == 0 {
 		r.Whole++
+		if took <= l.InTime {
+			r.Good++
+		}
 	}
 	for _, m := range a.Coverage.Missing {
 		r.Missing[m.Reason]++
 	}
-	if check != nil {
-		if v := check(a); v != "" {
+	if l.Check != nil {
+		if v := l.Check(a); v != "" {
 			r.Violations = append(r.Violations, v)
 		}
 	}
