--- /dev/null
+++ b/internal/bench/settings.go
@@ -0,0 +1,99 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"fescuerill/internal/schema/platform"
+	"fescuerill/settings"
+)
+
+// SettingsSizes are the numbers of services of two targets that are measured;
+// the last is the size to design for.
+var SettingsSizes = []int{53, 250, 1000, 1950}
+
+// Settings compares three ways to carry a change of one service to a daemon,
+// and writes a table of bytes and reads for one change.
+func Settings(w io.Writer) error {
+	fmt.Fprintf(w, "| targets | whole tree, bytes | manifest and changed parts, bytes | change of the manifest and changed parts, bytes | reads: tree, manifest, change | view made in ms |\n|---|---|---|---|---|---|\n")
+	for _, services := range SettingsSizes {
+		if err := settingsRow(w, services); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func settingsRow(w io.Writer, services int) error {
+	before, _, err := sizedTree(services, 512)
+	if err != nil {
+		return err
+	}
+	after, text, err := sizedTree(services, 511)
+	if err != nil {
+		return err
+	}
+	old, err := manifestOf(before, 1)
+	if err != nil {
+		return err
+	}
+	next, err := manifestOf(after, 2)
+	if err != nil {
+		return err
+	}
+	delta := settings.Between(old, next)
+	parts, err := after.Parts()
+	if err != nil {
+		return err
+	}
+	changed := 0
+	for _, c := range delta.Changed {
+		for _, p := range parts {
+			if p.Hash() == c.Hash {
+				changed += len(p.Content())
+			}
+		}
+	}
+	began := time.Now()
+	after.View(2)
+	took := time.Since(began)
+	fmt.Fprintf(w, "| %d | %d | %d | %d | 1, %d, 0 | %.1f |\n", 2*services, len(text), size(next)+changed, size(delta)+changed, 1+len(delta.Changed), float64(took.Microseconds())/1000)
+	return nil
+}
+
+func size(v any) int {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return 0
+	}
+	return len(text)
+}
+
+func manifestOf(t *settings.Tree, revision int) (platform.Manifest, error) {
+	m := platform.Manifest{Revision: revision, ChangeID: "4711"}
+	parts, err := t.Parts()
+	for _, p := range parts {
+		m.Parts = append(m.Parts, platform.PartName{Path: p.Path(), Hash: p.Hash()})
+	}
+	return m, err
+}
+
+// sizedTree returns settings of many services of two targets in six data
+// centres; the queue of the first service is as given.
+func sizedTree(services, queue int) (*settings.Tree, string, error) {
+	text := "deployment = \"khomas\"\n"
+	for dc := range 6 {
+		text += fmt.Sprintf("[data-centres.khomas-%c]\nstate = \"in\"\n", 'a'+dc)
+	}
+	text += fmt.Sprintf("[groups.desk.services.desk-0000.policy]\nqueue = %d\n", queue)
+	for i := range services {
+		for j := range 2 {
+			text += fmt.Sprintf("[groups.desk.services.desk-%04d.targets.%c]\naddress = \"10.%d.%d.%d:8080\"\ndata-centre = \"khomas-%c\"\n",
+				i, 'a'+j, j, i/250, i%250+1, 'a'+(i+j)%6)
+		}
+	}
+	t, err := settings.ParseTree("bench.toml", []byte(text))
+	return t, text, err
+}
--- /dev/null
+++ b/internal/bench/state.go
@@ -0,0 +1,114 @@
+package bench
+
+import (
+	"crypto/rand"
+	"fmt"
+	"io"
+	"runtime"
+	"time"
+
+	"fescuerill/internal/schema/platform"
+	"fescuerill/owner"
+	"fescuerill/settings"
+	"fescuerill/snapshot"
+)
+
+// stateSize is a size at which the state of a daemon is measured.
+type stateSize struct {
+	hosts, services, asked int
+}
+
+// State measures what a daemon keeps and computes at some sizes, and writes a
+// table. Services have two targets and one shard; a query asks the given number
+// of services.
+func State(w io.Writer) error {
+	fmt.Fprintf(w, "| daemons | targets | shards a query | settings KB | holdings KB | division KB | division ms | shard map ms | roster bytes |\n|---|---|---|---|---|---|---|---|---|\n")
+	for _, s := range []stateSize{{9, 53, 53}, {50, 250, 100}, {200, 1000, 400}, {830, 1950, 920}} {
+		if err := stateRow(w, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func stateRow(w io.Writer, s stateSize) error {
+	_, text, err := sizedTree(s.services, 512)
+	if err != nil {
+		return err
+	}
+	t, err := settings.ParseTree("bench.toml", []byte(text))
+	if err != nil {
+		return err
+	}
+	before := heapAlloc()
+	v := t.View(1)
+	viewBytes := heapAlloc() - before
+	before = heapAlloc()
+	catalog, services := holdings(v)
+	holdingBytes := heapAlloc() - before
+	hosts, targets := parties(v, s.hosts)
+	before = heapAlloc()
+	began := time.Now()
+	owners := owner.Assign(nil, hosts, targets)
+	assign := time.Since(began)
+	divisionBytes := heapAlloc() - before
+	began = time.Now()
+	m := catalog.Choose(services[:s.asked], 0, func(string) bool { return true })
+	choose := time.Since(began)
+	fmt.Fprintf(w, "| %d | %d | %d | %.0f | %.0f | %.0f | %.2f | %.2f | %d |\n", s.hosts, len(owners), len(m.Shards()),
+		viewBytes/1e3, holdingBytes/1e3, divisionBytes/1e3, milliseconds(assign), milliseconds(choose), rosterBytes(s.hosts))
+	runtime.KeepAlive(t)
+	runtime.KeepAlive(v)
+	runtime.KeepAlive(catalog)
+	return nil
+}
+
+// rosterBytes returns the size of the roster of n hosts.
+func rosterBytes(n int) int {
+	var r platform.Roster
+	for i := range n {
+		r.Hosts = append(r.Hosts, platform.Member{
+			ID: fmt.Sprintf("entry-%d", i), Incarnation: rand.Text(), CallerAddress: "10.12.100.101:7001",
+			PeerAddress: "10.12.100.101:7101", DataCentre: "khomas-a", Lease: "lease-1234567", State: "live",
+		})
+	}
+	return size(r)
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func holdings(v *settings.View) (*snapshot.Catalog, []snapshot.Service) {
+	var c snapshot.Catalog
+	var services []snapshot.Service
+	for _, s := range v.Services() {
+		one := snapshot.Service{Path: s.Path()}
+		for _, b := range s.Targets() {
+			one.Targets = append(one.Targets, b.Path())
+			c.Update(b.Path(), 1, []snapshot.Holding{snapshot.NewHolding(1, 1, []int{0}), snapshot.NewHolding(2, 1, []int{0})})
+		}
+		services = append(services, one)
+	}
+	return &c, services
+}
+
+func parties(v *settings.View, n int) ([]owner.Host, []owner.Target) {
+	var hosts []owner.Host
+	for i := range n {
+		hosts = append(hosts, owner.Host{ID: fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("khomas-%c", 'a'+i%6)})
+	}
+	var targets []owner.Target
+	for _, s := range v.Services() {
+		for _, b := range s.Targets() {
+			targets = append(targets, owner.Target{Path: b.Path(), Service: s.Path(), DataCentre: b.DataCentre()})
+		}
+	}
+	return hosts, targets
+}
+
+func heapAlloc() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -13,7 +13,7 @@
 		Use:   "bench",
 		Short: "Make the tables of the measurements",
 	}
-	c.AddCommand(newBenchScenarios(), newBenchControl(), newBenchHop(), newBenchGoodput())
+	c.AddCommand(newBenchScenarios(), newBenchControl(), newBenchHop(), newBenchGoodput(), newBenchSettings(), newBenchState())
 	return c
 }
 
@@ -85,3 +85,25 @@
 	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the run")
 	return c
 }
+
+func newBenchSettings() *cobra.Command {
+	return &cobra.Command{
+		Use:   "settings",
+		Short: "Bytes and reads of a change of the settings, for three ways to carry it",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return bench.Settings(c.OutOrStdout())
+		},
+	}
+}
+
+func newBenchState() *cobra.Command {
+	return &cobra.Command{
+		Use:   "state",
+		Short: "State and computing of a daemon up to the size to design for",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return bench.State(c.OutOrStdout())
+		},
+	}
+}
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -17,8 +17,8 @@
 const (
 	// firstSpread and secondSpread are the hosts told of a change at once, and
 	// again after spreadPause.
-	firstSpread  = 4
-	secondSpread = 2
+	firstSpread  = 5
+	secondSpread = 5
 	spreadPause  = 500 * time.Millisecond
 	// isolation is how long a host that hears neither the store nor others goes
 	// on taking new work.
--- a/owner/assign.go
+++ b/owner/assign.go
@@ -23,13 +23,15 @@
 
 type ranked struct {
 	Host
-	hash  uint64
-	owned int
+	hash   uint64
+	centre int
+	owned  int
 }
 
 type division struct {
 	hosts    []ranked
 	bound    int
+	centres  map[string]int
 	services map[string][]int
 }
 
@@ -59,9 +61,12 @@
 }
 
 func newDivision(hosts []Host, targets int) *division {
-	d := &division{services: map[string][]int{}}
+	d := &division{services: map[string][]int{}, centres: map[string]int{}}
 	for _, h := range hosts {
-		d.hosts = append(d.hosts, ranked{Host: h, hash: xxhash.Sum64String(h.ID)})
+		if _, ok := d.centres[h.DataCentre]; !ok {
+			d.centres[h.DataCentre] = len(d.centres) + 1
+		}
+		d.hosts = append(d.hosts, ranked{Host: h, hash: xxhash.Sum64String(h.ID), centre: d.centres[h.DataCentre]})
 	}
 	slices.SortFunc(d.hosts, func(a, b ranked) int { return strings.Compare(a.ID, b.ID) })
 	d.bound = int(loadBound*float64(targets)/float64(len(hosts))) + 1
@@ -72,12 +77,16 @@
 // kept are given up in the order of preference.
 func (d *division) choose(t Target) int {
 	hash := xxhash.Sum64String(t.Path)
+	centre, taken := d.centres[t.DataCentre], d.services[t.Service]
 	best, bestRank, bestScore := 0, -1, uint64(0)
 	for i := range d.hosts {
 		h := &d.hosts[i]
-		rank := d.rank(i, t)
+		rank := d.rank(i, centre, taken)
+		if rank < bestRank {
+			continue
+		}
 		score := mix(hash ^ h.hash)
-		if rank > bestRank || rank == bestRank && score > bestScore {
+		if rank > bestRank || score > bestScore {
 			best, bestRank, bestScore = i, rank, score
 		}
 	}
@@ -85,16 +94,16 @@
 }
 
 // rank weighs the rules: apart from replicas first, then the load bound, then
-// the data centre.
-func (d *division) rank(i int, t Target) int {
+// the data centre. Taken are the hosts that own other targets of the service.
+func (d *division) rank(i, centre int, taken []int) int {
 	rank := 0
-	if !slices.Contains(d.services[t.Service], i) {
+	if !slices.Contains(taken, i) {
 		rank += 4
 	}
 	if d.hosts[i].owned < d.bound {
 		rank += 2
 	}
-	if d.hosts[i].DataCentre == t.DataCentre {
+	if d.hosts[i].centre == centre {
 		rank++
 	}
 	return rank
