--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -122,6 +122,7 @@
 	if n.HostList() != "" {
 		d.fleet.list, d.fleet.lag = store.NewHostList(n.HostList()), hostListLag
 	}
+	d.fleet.cleared = d.ownership.lastCleared
 	d.ownership.proven = d.fleet.proven
 	d.ownership.release = d.release
 	d.keeper = newSettingsKeeper(d)
--- a/internal/daemon/division.go
+++ b/internal/daemon/division.go
@@ -38,9 +38,7 @@
 		Number: r.Epoch, Owners: d.owners, Lapsed: r.Lapsed, Suspects: slices.Clone(r.Doubted),
 		Settled: r.Settled != nil && *r.Settled, Clean: r.Clean != nil && *r.Clean,
 	}
-	for _, h := range r.hosts {
-		d.epoch.Suspects = append(d.epoch.Suspects, h.ID)
-	}
+	d.epoch.Suspects = append(d.epoch.Suspects, r.old()...)
 	d.epoch.Before = before(r, old, views)
 	return d
 }
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -21,10 +21,15 @@
 	HostPrefix   = "hosts/"
 	membersKey   = "members"
 	rosterPrefix = "rosters/"
+	// rostersKept is the number of rosters in the store.
+	rostersKept = 16
 	// watchWait is how long a watch waits.
 	watchWait = 20 * time.Second
 	// hostListLag is how long the host list is behind at most.
 	hostListLag = 30 * time.Second
+	// joinsPerSecond is the number of hosts that join in a second when all start
+	// at once. Each takes two writes.
+	joinsPerSecond = 150
 	// storeRetry is the mean wait after a call that failed.
 	storeRetry = 500 * time.Millisecond
 )
@@ -36,7 +41,10 @@
 	self  platform.Member
 	time  time.Duration
 	adopt func(r record, asked time.Time)
-	list  *store.HostList
+	// cleared returns the last epoch of which the host uses nothing that it
+	// gives to others.
+	cleared func() int
+	list    *store.HostList
 	// lag is how long the host list is behind at most.
 	lag time.Duration
 
@@ -46,6 +54,8 @@
 	mu       sync.Mutex
 	lease    lease.Lease
 	covered  string
+	// stood is set once the host has stood in a record of members.
+	stood    bool
 	record   record
 	revision int
 	since    time.Time
@@ -86,6 +96,7 @@
 
 // hold is the duty that keeps the lease and the host's record.
 func (f *fleet) hold(ctx context.Context) {
+	pause(ctx, f.joinDelay(ctx))
 	for ctx.Err() == nil {
 		f.mu.Lock()
 		id, at := f.lease.ID(), f.lease.RenewAt()
@@ -99,10 +110,23 @@
 		pause(ctx, time.Until(at))
 		if ctx.Err() == nil {
 			f.renew(ctx, id)
+			_ = f.ack(ctx, f.cleared())
 		}
 	}
 }
 
+// joinDelay returns a random wait before the host joins, so that a fleet whose
+// hosts all start in the same second does not ask more of the store than it
+// bears.
+func (f *fleet) joinDelay(ctx context.Context) time.Duration {
+	e, err := f.store.Get(ctx, membersKey)
+	var m platform.Members
+	if err != nil || json.Unmarshal([]byte(e.Value), &m) != nil || m.Size == 0 {
+		return 0
+	}
+	return rand.N(time.Duration(m.Size) * time.Second / joinsPerSecond)
+}
+
 // join takes a new lease and writes the host's record under it.
 func (f *fleet) join(ctx context.Context) error {
 	sent := time.Now()
@@ -111,6 +135,7 @@
 		return err
 	}
 	f.mu.Lock()
+	f.self.New = new(!f.stood)
 	self := f.self
 	self.Lease, self.Epoch = id, 0
 	f.mu.Unlock()
--- a/internal/daemon/ownership.go
+++ b/internal/daemon/ownership.go
@@ -209,16 +209,22 @@
 	o.cleared = max(o.cleared, epoch)
 }
 
-// survey is the duty that says which epochs the host has adopted, and looks at
-// what others have said while it waits for them.
+// lastCleared returns the last epoch of which the host uses nothing that it
+// gives to others.
+func (o *ownership) lastCleared() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.cleared
+}
+
+// survey is the duty that looks at what others have said while the host waits
+// for them.
 func (o *ownership) survey(ctx context.Context, f *fleet) {
 	for ctx.Err() == nil {
 		pause(ctx, storeRetry)
 		o.mu.Lock()
-		cleared := o.cleared
 		unproven, waiting := o.ledger.Waiting(time.Now())
 		o.mu.Unlock()
-		_ = f.ack(ctx, cleared)
 		if !waiting {
 			continue
 		}
--- a/internal/daemon/record.go
+++ b/internal/daemon/record.go
@@ -31,6 +31,18 @@
 	return platform.Member{}, false
 }
 
+// old returns the hosts whose run may have owned targets before this epoch: all
+// but those that join with it for the first time.
+func (r record) old() []string {
+	var out []string
+	for _, h := range r.hosts {
+		if find(r.Joined, h.ID) < 0 || h.New == nil || !*h.New {
+			out = append(out, h.ID)
+		}
+	}
+	return out
+}
+
 func find(hosts []platform.Member, id string) int {
 	return slices.IndexFunc(hosts, func(m platform.Member) bool { return m.ID == id })
 }
--- a/internal/daemon/survey.go
+++ b/internal/daemon/survey.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -63,7 +64,7 @@
 	if r, err := present.follow(m); err == nil {
 		return r, nil
 	}
-	e, err := f.store.Get(ctx, rosterPrefix+m.Sum)
+	e, err := f.store.Get(ctx, rosterKey(m.Epoch))
 	if err != nil {
 		return record{}, err
 	}
@@ -95,6 +96,7 @@
 	f.covered = ""
 	if h, ok := r.host(f.self.ID); ok && h.Incarnation == f.self.Incarnation {
 		f.covered = h.Lease
+		f.stood = true
 	}
 }
 
@@ -152,18 +154,24 @@
 	return f.put(ctx, next, revision)
 }
 
-// put writes a record: its roster first, under the name of its content.
+// rosterKey returns the key of the roster of an epoch. Keys are used again in
+// turn; what is read is checked by the sum in the record.
+func rosterKey(epoch int) string { return rosterPrefix + strconv.Itoa(epoch%rostersKept) }
+
+// put writes a record, its roster first. Of two hosts that write the same epoch
+// at once one loses the swap of the record; should its roster be the one that
+// stands, the hosts that need it wait for the next epoch.
 func (f *fleet) put(ctx context.Context, r record, revision int) error {
 	roster, sum, err := rosterText(r.hosts)
 	if err != nil {
 		return err
 	}
-	r.Sum = sum
+	r.Sum, r.Size = sum, len(r.hosts)
 	text, err := json.Marshal(r.Members)
 	if err != nil {
 		return errors.Wrap(err, "daemon: members")
 	}
-	if _, err := f.store.Put(ctx, rosterPrefix+sum, roster, store.AnyRevision, ""); err != nil {
+	if _, err := f.store.Put(ctx, rosterKey(r.Epoch), roster, store.AnyRevision, ""); err != nil {
 		return err
 	}
 	asked := time.Now()
--- a/internal/schema/platform/platform.gen.go
+++ b/internal/schema/platform/platform.gen.go
@@ -101,6 +101,9 @@
 	// Lease under which the record stands.
 	Lease string `json:"lease"`
 
+	// Whether this run of the host has never stood in a record of members.
+	New *bool `json:"new,omitempty,omitzero"`
+
 	// IP address and port for other daemons.
 	PeerAddress string `json:"peer-address"`
 
@@ -135,6 +138,9 @@
 	// Whether the epoch before had been in force for a lease time.
 	Settled *bool `json:"settled,omitempty,omitzero"`
 
+	// Number of hosts in the roster.
+	Size int `json:"size"`
+
 	// Hash of the roster.
 	Sum string `json:"sum"`
 }
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -68,6 +68,7 @@
 	for _, g := range s.Groups {
 		o.Services += g.Services
 	}
+	o.Ran = &Ran{}
 	service, count := 0, 0
 	for _, g := range s.Groups {
 		o.Slots, o.Batch, o.ColdSlots, o.ColdBatch, o.WarmStep = g.Slots, g.Batch, 1, g.ColdBatch, g.WarmBy
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -103,6 +103,7 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET /v1/keys/{key...}", s.get)
 	m.HandleFunc("PUT /v1/keys/{key...}", s.put)
+	m.HandleFunc("DELETE /v1/keys/{key...}", s.remove)
 	m.HandleFunc("GET /v1/list/{key...}", s.list)
 	m.HandleFunc("GET /v1/watch/{key...}", s.watch)
 	m.HandleFunc("POST /v1/leases", s.grant)
@@ -219,6 +220,20 @@
 	Answer(w, http.StatusOK, e.Entry)
 }
 
+func (s *Store) remove(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	delete(s.entries, r.PathValue("key"))
+	s.mu.Unlock()
+	Answer(w, http.StatusOK, struct{}{})
+}
+
+// Keys returns the number of keys in the store.
+func (s *Store) Keys() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.entries)
+}
+
 func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
 	var l platform.Lease
 	if !read(w, r, &l) {
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -30,6 +30,26 @@
 	// Warm makes the target start warm.
 	Warm bool
 	Seed uint64
+	// Ran remembers the items on which operations ran; the targets of a
+	// deployment share it.
+	Ran *Ran
+}
+
+// Ran remembers on which items operations ran. The zero value remembers none.
+type Ran struct {
+	mu    sync.Mutex
+	items map[string]int
+}
+
+// add notes that an operation ran on an item and returns how often one has.
+func (r *Ran) add(item string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.items == nil {
+		r.items = map[string]int{}
+	}
+	r.items[item]++
+	return r.items[item]
 }
 
 // TargetFaults says how a target fails.
@@ -55,7 +75,7 @@
 	// ColdOverruns counts arrivals above what the cold target bears;
 	// Unannounced those of them that were sent before any sign of its turn.
 	ColdOverruns, Unannounced int
-	// Repeated counts operations that ran more than once on one request.
+	// Repeated counts operations on an item on which one had run before.
 	Repeated   int
 	MostAtOnce int
 }
@@ -76,7 +96,6 @@
 	signed      time.Time
 	snapshots   []int
 	version     int
-	ran         map[string]bool
 	silentSince time.Time
 }
 
@@ -85,7 +104,10 @@
 	t := &Target{
 		options: o, corpus: c, random: rand.New(rand.NewPCG(o.Seed, uint64(o.Service*64+o.Index))),
 		incarnation: 1, running: map[string]context.CancelFunc{}, snapshots: []int{1}, version: 1,
-		ran: map[string]bool{}, signed: time.Now(),
+		signed: time.Now(),
+	}
+	if t.options.Ran == nil {
+		t.options.Ran = &Ran{}
 	}
 	if o.Warm {
 		t.completed = t.fullAfter()
@@ -302,15 +324,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counts.Actions++
-	if t.ran[p.RequestID] {
-		t.counts.Repeated++
-	}
-	t.ran[p.RequestID] = true
-	r.Outcome = exchange.ResultOutcomeDone
 	item := ""
 	if p.Item != nil {
 		item = *p.Item
 	}
+	if t.options.Ran.add(item) > 1 {
+		t.counts.Repeated++
+	}
+	r.Outcome = exchange.ResultOutcomeDone
 	r.Hits = []exchange.Hit{{Document: item, Text: *p.Operation + " " + item, Score: 1}}
 }
 
--- a/settings/apply.go
+++ b/settings/apply.go
@@ -64,17 +64,55 @@
 	if err := writeParts(ctx, s, parts, present); err != nil {
 		return present, err
 	}
-	if entry.Value != "" {
-		// The record of each manifest stands before the next one does.
-		err := retry(ctx, func() error {
-			_, err := s.Put(ctx, recordKey(present.Revision), entry.Value, store.AnyRevision, "")
-			return err
-		})
-		if err != nil {
-			return present, errors.Wrap(err, "settings: record")
+	if err := record(ctx, s, present, entry.Value); err != nil {
+		return present, err
+	}
+	m, err := swap(ctx, s, next, entry.Revision)
+	if err != nil {
+		return m, err
+	}
+	// Another operator may have tidied up a part between the two writes.
+	return m, writeParts(ctx, s, parts, present)
+}
+
+// record writes the record of the manifest in force, which stands before the
+// next one does, and deletes the parts that only the record in its place named.
+func record(ctx context.Context, s store.Service, present platform.Manifest, text string) error {
+	if text == "" {
+		return nil
+	}
+	old := recorded(ctx, s, present.Revision-Kept)
+	after := recorded(ctx, s, present.Revision-Kept+1)
+	err := retry(ctx, func() error {
+		_, err := s.Put(ctx, recordKey(present.Revision), text, store.AnyRevision, "")
+		return err
+	})
+	if err != nil {
+		return errors.Wrap(err, "settings: record")
+	}
+	named := map[string]bool{}
+	for _, p := range append(present.Parts, after.Parts...) {
+		named[p.Hash] = true
+	}
+	for _, p := range old.Parts {
+		if !named[p.Hash] && after.Revision != 0 {
+			_ = s.Delete(ctx, partPrefix+p.Hash)
 		}
 	}
-	return swap(ctx, s, next, entry.Revision)
+	return nil
+}
+
+// recorded returns the record of a revision, or a manifest of revision 0.
+func recorded(ctx context.Context, s store.Service, revision int) platform.Manifest {
+	var m platform.Manifest
+	if revision <= 0 {
+		return m
+	}
+	e, err := s.Get(ctx, recordKey(revision))
+	if err != nil || json.Unmarshal([]byte(e.Value), &m) != nil || m.Revision != revision {
+		return platform.Manifest{}
+	}
+	return m
 }
 
 // Current returns the manifest in force and its entry.
--- a/store/client.go
+++ b/store/client.go
@@ -112,6 +112,11 @@
 	return entry(e), err
 }
 
+// Delete implements Service.
+func (c *Client) Delete(ctx context.Context, key string) error {
+	return c.call(ctx, callTimeout, http.MethodDelete, "/v1/keys/"+key, nil, nil)
+}
+
 // Grant implements Service.
 func (c *Client) Grant(ctx context.Context, d time.Duration) (string, error) {
 	var l platform.Lease
--- a/store/service.go
+++ b/store/service.go
@@ -42,6 +42,8 @@
 	// not exist, or AnyRevision. The key goes with the lease unless that is
 	// empty. It returns the new entry, or the present one with ErrConflict.
 	Put(ctx context.Context, key, value string, ifRevision int, lease string) (Entry, error)
+	// Delete deletes a key. It is no error that there is none.
+	Delete(ctx context.Context, key string) error
 	// Grant makes a lease.
 	Grant(ctx context.Context, d time.Duration) (id string, err error)
 	// Renew makes a lease last for its whole time again, or returns
