Believe a target that says it is less warm than thought; find lost ones again

Change: any report that is further from warm than what is thought takes the target for cold; lost and leaving targets are asked last instead of never. The stand-in that lies about its state no longer counts its lies as signs.

--- a/internal/daemon/chooser.go
+++ b/internal/daemon/chooser.go
@@ -16,6 +16,9 @@
 	firstLatency = 5 * time.Millisecond
 	// coldFactor is how much worse than a warm target one is that is not.
 	coldFactor = 8.0
+	// goneFactor is the same for one that was lost or leaving when its owner was
+	// last heard. Only an ask shows that it is back.
+	goneFactor = 1000.0
 	// farFactor is the same for one in another data centre.
 	farFactor = 1.2
 	// coldTrickle is the share of choices that go to a target that is not warm
@@ -110,9 +113,6 @@
 			continue
 		}
 		t := c.standings.get(h)
-		if t.known && (t.state == target.Lost || t.state == target.Leaving) {
-			continue
-		}
 		score := c.score(h, t, draw)
 		if best == "" || score < bestScore {
 			best, bestScore = h, score
@@ -127,10 +127,13 @@
 	if draw < slowTrickle {
 		return c.random.Float64()
 	}
-	if t.known && t.state != target.Warm {
-		if draw < coldTrickle {
-			return 0
-		}
+	switch {
+	case !t.known || t.state == target.Warm:
+	case t.state == target.Lost || t.state == target.Leaving:
+		score *= goneFactor
+	case draw < coldTrickle:
+		return 0
+	default:
 		score *= coldFactor
 	}
 	if c.dataCentre(path) != c.own {
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -380,7 +380,9 @@
 func (t *Target) report() exchange.Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.sign()
+	if !t.faults.Lie {
+		t.sign()
+	}
 	version := t.version
 	r := exchange.Report{
 		Incarnation: strconv.Itoa(t.incarnation), State: exchange.ReportStateWarm,
--- a/internal/trial/faults_test.go
+++ b/internal/trial/faults_test.go
@@ -219,3 +219,23 @@
 		assert.Equal(t, "outcome-unknown", refusal.Kind())
 	}
 }
+
+// TestLostTargetsAreFoundAgain loses both targets of a service and brings them
+// back.
+func TestLostTargetsAreFoundAgain(t *testing.T) {
+	run := start(t, trial.Options{Hosts: 3, Target: standin.TargetOptions{Base: time.Millisecond, Warm: true}})
+	load := trial.Load{Rate: 50, Duration: time.Second, Scopes: []string{"dispatch-desk"}, Seed: 1}
+	both := run.Deployment().Paths()[:2]
+	for _, path := range both {
+		run.Deployment().Server(path).Stop()
+	}
+	time.Sleep(500 * time.Millisecond)
+	r := run.Run(load)
+	assert.Less(t, r.Coverage(), 1.0)
+	for _, path := range both {
+		require.NoError(t, run.Deployment().Server(path).Start())
+	}
+	time.Sleep(time.Second)
+	r = run.Run(load)
+	assert.Equal(t, 1.0, r.Coverage(), r.Missing)
+}
--- a/internal/trial/randomised_test.go
+++ b/internal/trial/randomised_test.go
@@ -67,7 +67,9 @@
 			c.run.Deployment().Server(path).Stop()
 			return func() {
 				c.run.Deployment().Target(path).TurnCold(true)
-				_ = c.run.Deployment().Server(path).Start()
+				if err := c.run.Deployment().Server(path).Start(); err != nil {
+					c.t.Logf("%s: %v", path, err)
+				}
 			}
 		}},
 		{"snapshot", func(c *chaos) func() {
--- a/target/gate.go
+++ b/target/gate.go
@@ -70,6 +70,7 @@
 	state       State
 	share       Share
 	incarnation string
+	reported    State
 	completed   int
 	era         int
 	last        uint64
@@ -276,7 +277,7 @@
 // it, but for one thing: a target that was lost is cold again.
 func (g *Gate) Heard(now time.Time, r Report) {
 	fresh := r.Incarnation != g.incarnation
-	g.incarnation = r.Incarnation
+	g.incarnation, g.reported = r.Incarnation, r.State
 	if r.Load > 1 {
 		g.pressed = now.Add(pressTime)
 	}
@@ -288,15 +289,21 @@
 		g.restart(TurnReturned)
 	case fresh:
 		g.restart(TurnIncarnation)
-	case r.State == Cold && g.state == Warm:
+	case r.State < g.state:
+		// A target that turned cold may say that it is warming again, for work
+		// that was under way when it turned.
 		g.restart(TurnReported)
 	}
 }
 
 // HandOver takes the state that the last owner of the target had for it. It is
-// believed only for the same incarnation of the target.
+// believed only for the same incarnation of the target, and only if the target
+// itself does not say that it is further from full work.
 func (g *Gate) HandOver(incarnation string, s State, completed int) {
-	if s == Leaving || s == Lost || (g.incarnation != "" && incarnation != g.incarnation) {
+	if s == Leaving || s == Lost {
+		return
+	}
+	if g.incarnation != "" && (incarnation != g.incarnation || g.reported < s) {
 		return
 	}
 	g.incarnation = incarnation
--- a/target/gate_test.go
+++ b/target/gate_test.go
@@ -33,7 +33,7 @@
 		}
 		id, ok := g.Acquire(epoch, epoch.Add(time.Second))
 		require.True(t, ok)
-		g.Complete(epoch.Add(time.Millisecond), id, target.Report{Incarnation: incarnation}, true)
+		g.Complete(epoch.Add(time.Millisecond), id, target.Report{Incarnation: incarnation, State: target.Warm}, true)
 	}
 	t.Fatal("the gate does not warm up")
 }
@@ -69,6 +69,7 @@
 		want target.Turn
 	}{
 		{"its word", func(g *target.Gate) { g.Heard(epoch, target.Report{Incarnation: "1", State: target.Cold}) }, target.TurnReported},
+		{"its word that it is warming", func(g *target.Gate) { g.Heard(epoch, target.Report{Incarnation: "1", State: target.Warming}) }, target.TurnReported},
 		{"new incarnation", func(g *target.Gate) { g.Heard(epoch, target.Report{Incarnation: "2", State: target.Warm}) }, target.TurnIncarnation},
 		{"broken connection", func(g *target.Gate) { g.Broken() }, target.TurnReset},
 		{"shed", func(g *target.Gate) {
@@ -92,6 +93,17 @@
 	}
 }
 
+func TestHandOverIsNotBelievedAgainstTheTarget(t *testing.T) {
+	g := newGate()
+	g.HandOver("1", target.Warm, 100)
+	assert.Equal(t, target.Cold, g.State(), "the target has said that it is cold")
+	g.Heard(epoch, target.Report{Incarnation: "1", State: target.Warm})
+	g.HandOver("0", target.Warm, 100)
+	assert.Equal(t, target.Cold, g.State(), "another incarnation")
+	g.HandOver("1", target.Warm, 100)
+	assert.Equal(t, target.Warm, g.State())
+}
+
 func TestSlotStaysTakenUntilTheEndIsSure(t *testing.T) {
 	g := newGate()
 	_, ok := g.Acquire(epoch, epoch.Add(50*time.Millisecond))
