--- a/internal/trial/randomised_test.go
+++ b/internal/trial/randomised_test.go
@@ -203,12 +203,13 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		hosts, err := client.Hosts(ctx)
-		if err != nil {
+		switch {
+		case err != nil:
 			tell("no-host")
 			time.Sleep(50 * time.Millisecond)
-		} else if i%10 == 9 {
+		case i%10 == 9:
 			act(ctx, client, hosts[0].Address, fmt.Sprintf("caller-%d-request-%d", n, i), tell)
-		} else {
+		default:
 			one(ctx, client, hosts[0].Address, tell)
 		}
 		cancel()
