--- a/internal/bench/state.go
+++ b/internal/bench/state.go
@@ -22,7 +22,7 @@
 // table. Services have two targets and one shard; a query asks the given number
 // of services.
 func State(w io.Writer) error {
-	fmt.Fprintf(w, "| daemons | targets | shards a query | settings KB | holdings KB | division KB | division ms | shard map ms | roster bytes |\n|---|---|---|---|---|---|---|---|---|\n")
+	fmt.Fprintf(w, "| daemons | targets | shards a query | settings KB | holdings KB | division KB | division ms | shard map ms | roster bytes | targets moved when a host leaves |\n|---|---|---|---|---|---|---|---|---|---|\n")
 	for _, s := range []stateSize{{9, 53, 53}, {50, 250, 100}, {200, 1000, 400}, {830, 1950, 920}} {
 		if err := stateRow(w, s); err != nil {
 			return err
@@ -55,8 +55,8 @@
 	began = time.Now()
 	m := catalog.Choose(services[:s.asked], 0, func(string) bool { return true })
 	choose := time.Since(began)
-	fmt.Fprintf(w, "| %d | %d | %d | %.0f | %.0f | %.0f | %.2f | %.2f | %d |\n", s.hosts, len(owners), len(m.Shards()),
-		viewBytes/1e3, holdingBytes/1e3, divisionBytes/1e3, milliseconds(assign), milliseconds(choose), rosterBytes(s.hosts))
+	fmt.Fprintf(w, "| %d | %d | %d | %.0f | %.0f | %.0f | %.2f | %.2f | %d | %d |\n", s.hosts, len(owners), len(m.Shards()),
+		viewBytes/1e3, holdingBytes/1e3, divisionBytes/1e3, milliseconds(assign), milliseconds(choose), rosterBytes(s.hosts), moved(owners, owner.Assign(nil, hosts[1:], targets)))
 	runtime.KeepAlive(t)
 	runtime.KeepAlive(v)
 	runtime.KeepAlive(catalog)
@@ -75,6 +75,17 @@
 	return size(r)
 }
 
+// moved returns the number of targets with another owner.
+func moved(before, after map[string]string) int {
+	n := 0
+	for path, host := range before {
+		if after[path] != host {
+			n++
+		}
+	}
+	return n
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 func holdings(v *settings.View) (*snapshot.Catalog, []snapshot.Service) {
