--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -81,7 +81,7 @@
 // request makes the message of an exchange.
 func (k *keeper) request(r *running, now, until time.Time) exchange.Request {
 	q := exchange.Request{
-		ExchangeID: k.target.Path() + "/" + r.id,
+		ExchangeID: k.path + "/" + r.id,
 		BudgetUs:   int(until.Sub(now).Microseconds()), Parts: make([]exchange.Part, len(r.jobs)),
 	}
 	for i, j := range r.jobs {
@@ -221,9 +221,9 @@
 		if !wanted && !r.stop && !k.plain {
 			r.stop = true
 			k.tally.Add("exchanges-cancelled", 1)
-			id := k.target.Path() + "/" + r.id
+			id := k.path + "/" + r.id
 			k.done.Go(func() {
-				limited, cancel := context.WithTimeout(ctx, k.target.Policy().SilentAfter())
+				limited, cancel := context.WithTimeout(ctx, time.Duration(k.silentAfter.Load()))
 				defer cancel()
 				_ = k.link.cancel(limited, id)
 			})
--- a/internal/daemon/keeper.go
+++ b/internal/daemon/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fescuerill/internal/schema/caller"
@@ -104,12 +105,15 @@
 // touches its gate and queue.
 type keeper struct {
 	address string
-	target  *settings.Target
-	tally   *tally.Tally
-	inbox   ring.Ring[event]
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
-	over    chan struct{}
+	path    string
+	// silentAfter is the time after which a report or a cancellation is given
+	// up; all duties of the keeper read it.
+	silentAfter atomic.Int64
+	tally       *tally.Tally
+	inbox       ring.Ring[event]
+	cancel      context.CancelFunc
+	done        sync.WaitGroup
+	over        chan struct{}
 
 	// granted is the share that the ledger grants, and proven reports whether
 	// the lease is proven.
@@ -128,10 +132,13 @@
 }
 
 func newKeeper(b *settings.Target, t *tally.Tally, o Options, proven func(time.Time) bool) *keeper {
-	plain := o.Plain
 	ctx, cancel := context.WithCancel(context.Background())
-	k := &keeper{address: b.Address(), target: b, tally: t, cancel: cancel, link: newExchanger(b, o.Network), running: map[uint64]*running{}, plain: plain, proven: proven, over: make(chan struct{})}
-	k.gate.Reset(limits(b.Policy(), plain))
+	k := &keeper{
+		address: b.Address(), path: b.Path(), tally: t, cancel: cancel, link: newExchanger(b, o.Network),
+		running: map[uint64]*running{}, plain: o.Plain, proven: proven, over: make(chan struct{}),
+	}
+	k.silentAfter.Store(int64(b.Policy().SilentAfter()))
+	k.gate.Reset(limits(b.Policy(), o.Plain))
 	k.queue.Reset(b.Policy().Queue())
 	k.done.Go(func() { k.run(ctx) })
 	k.done.Go(func() { k.poll(ctx) })
@@ -198,7 +205,7 @@
 
 // ask asks the target for its report.
 func (k *keeper) ask(ctx context.Context) error {
-	limited, cancel := context.WithTimeout(ctx, k.target.Policy().SilentAfter())
+	limited, cancel := context.WithTimeout(ctx, time.Duration(k.silentAfter.Load()))
 	defer cancel()
 	r, err := k.link.report(limited)
 	if ctx.Err() == nil {
@@ -263,7 +270,7 @@
 		k.granted = *e.share
 		k.gate.SetShare(k.usable(now))
 	case e.view != nil:
-		k.target = e.view
+		k.silentAfter.Store(int64(e.view.Policy().SilentAfter()))
 		k.gate.SetLimits(limits(e.view.Policy(), k.plain))
 	case e.state != nil:
 		e.state <- k.status()
@@ -279,7 +286,7 @@
 func (k *keeper) status() targetStatus {
 	return targetStatus{
 		TargetStatus: caller.TargetStatus{
-			Target: k.target.Path(), State: k.gate.State().String(), Taken: k.gate.Taken(),
+			Target: k.path, State: k.gate.State().String(), Taken: k.gate.Taken(),
 			Queued: k.queue.Len(), Completed: k.gate.Completed(), Share: int(k.gate.Share()),
 		},
 		incarnation: k.gate.Incarnation(),
@@ -360,7 +367,7 @@
 }
 
 func (k *keeper) state() peer.TargetState {
-	s := peer.TargetState{Target: k.target.Path(), Version: k.version, State: k.gate.State().String()}
+	s := peer.TargetState{Target: k.path, Version: k.version, State: k.gate.State().String()}
 	s.Holdings = make([]peer.Holding, len(k.report.Holdings))
 	for i, h := range k.report.Holdings {
 		s.Holdings[i] = peer.Holding(h)
