Start no timer that has already run out; put imports in one order

Cause: with the race detector and a paused clock the Go runtime ended the test process (SIGSEGV in timer.maybeRunChan) in TestTwoGroupsOfHostsCutFromEachOther, in a select on the channel of a timer that was made with a time in the past. Ruled out: memory of ours, since nothing here uses unsafe code or cgo on that path and the fault is in the runtime's own stack.

Change: a wait that is over returns without a timer, and other timers get at least a nanosecond. Imports stand in three groups everywhere. A limit of zero is named as such in the findings.

--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -6,12 +6,12 @@
 	"sort"
 	"time"
 
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
 	"fescuerill/internal/invariant"
 	"fescuerill/internal/standin"
 	"fescuerill/internal/trial"
-
-	"github.com/pkg/errors"
-	"github.com/spf13/cobra"
 )
 
 // Sizes of the demo.
--- a/internal/command/query.go
+++ b/internal/command/query.go
@@ -10,10 +10,10 @@
 	"strings"
 	"time"
 
-	"fescuerill/caller"
-
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+
+	"fescuerill/caller"
 )
 
 type queryFlags struct {
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -5,10 +5,10 @@
 	"io"
 	"runtime/debug"
 
-	"fescuerill/settings"
-
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+
+	"fescuerill/settings"
 )
 
 // Exit codes.
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -7,11 +7,11 @@
 	"os/signal"
 	"syscall"
 
-	"fescuerill/internal/daemon"
-	"fescuerill/settings"
-
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+
+	"fescuerill/internal/daemon"
+	"fescuerill/settings"
 )
 
 func newServe() *cobra.Command {
--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"os"
 
-	"fescuerill/settings"
-
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+
+	"fescuerill/settings"
 )
 
 func newSettings() *cobra.Command {
--- a/internal/daemon/actions.go
+++ b/internal/daemon/actions.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fescuerill/internal/invariant"
 	"fescuerill/internal/schema/caller"
 	"fescuerill/internal/schema/peer"
@@ -13,8 +15,6 @@
 	"fescuerill/ring"
 	"fescuerill/settings"
 	"fescuerill/target"
-
-	"github.com/pkg/errors"
 )
 
 // Bounds of the memory of outcomes.
@@ -183,7 +183,7 @@
 // hear waits for the answer to one ask. Answers to earlier asks cannot come,
 // since each ask is made after the answer to the one before.
 func (a *actions) hear(inbox *ring.Ring[peer.Told], id int, until time.Time) (peer.Told, bool) {
-	timer := time.NewTimer(time.Until(until))
+	timer := time.NewTimer(max(time.Until(until), time.Nanosecond))
 	defer timer.Stop()
 	for {
 		for _, t := range inbox.Drain(nil) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fescuerill/internal/link"
 	"fescuerill/internal/network"
 	"fescuerill/internal/schema/peer"
@@ -18,8 +20,6 @@
 	"fescuerill/internal/tally"
 	"fescuerill/settings"
 	"fescuerill/store"
-
-	"github.com/pkg/errors"
 )
 
 // Options are what is not in a daemon's settings.
--- a/internal/daemon/exchanger.go
+++ b/internal/daemon/exchanger.go
@@ -10,12 +10,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
 	"fescuerill/internal/network"
 	"fescuerill/internal/schema/exchange"
 	"fescuerill/settings"
-
-	"github.com/pkg/errors"
-	"golang.org/x/time/rate"
 )
 
 // maxReply is the size in bytes above which a target's reply is refused.
--- a/internal/daemon/failure.go
+++ b/internal/daemon/failure.go
@@ -5,9 +5,9 @@
 	"net/http"
 	"time"
 
-	"fescuerill/internal/schema/caller"
-
 	"github.com/cespare/xxhash/v2"
+
+	"fescuerill/internal/schema/caller"
 )
 
 // failure is an answer to a caller that is an error.
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -7,12 +7,12 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fescuerill/internal/schema/platform"
 	"fescuerill/lease"
 	"fescuerill/settings"
 	"fescuerill/store"
-
-	"github.com/pkg/errors"
 )
 
 // Keys and times of the fleet.
@@ -227,6 +227,9 @@
 
 // pause waits for d or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/daemon/keeper.go
+++ b/internal/daemon/keeper.go
@@ -7,6 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
 	"fescuerill/internal/schema/caller"
 	"fescuerill/internal/schema/exchange"
 	"fescuerill/internal/schema/peer"
@@ -15,9 +18,6 @@
 	"fescuerill/ring"
 	"fescuerill/settings"
 	"fescuerill/target"
-
-	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
 )
 
 // Times of a keeper.
--- a/internal/daemon/message.go
+++ b/internal/daemon/message.go
@@ -7,11 +7,11 @@
 	"slices"
 	"sync"
 
-	"fescuerill/internal/schema"
-	"fescuerill/internal/schema/caller"
-
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"gopkg.in/yaml.v3"
+
+	"fescuerill/internal/schema"
+	"fescuerill/internal/schema/caller"
 )
 
 // messageSchemas are the schemas of what callers send, by name.
--- a/internal/daemon/pass.go
+++ b/internal/daemon/pass.go
@@ -22,11 +22,11 @@
 func (p *pass) follow(ctx context.Context, inbox *ring.Ring[peer.Told]) {
 	now := time.Now()
 	p.send(now, p.query.Begin(now))
-	timer := time.NewTimer(p.query.Next().Sub(now))
+	timer := time.NewTimer(max(p.query.Next().Sub(now), time.Nanosecond))
 	defer timer.Stop()
 	var told []peer.Told
 	for !p.query.Finished() && time.Now().Before(p.search.deadline) && ctx.Err() == nil {
-		timer.Reset(time.Until(p.query.Next()))
+		timer.Reset(max(time.Until(p.query.Next()), time.Nanosecond))
 		select {
 		case <-inbox.Ready():
 		case <-timer.C:
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fescuerill/internal/link"
 	"fescuerill/internal/schema/peer"
-
-	"github.com/pkg/errors"
 )
 
 // callTimeout bounds a call to another daemon.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -7,11 +7,11 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fescuerill/internal/network"
 	"fescuerill/internal/schema/peer"
 	"fescuerill/ring"
-
-	"github.com/pkg/errors"
 )
 
 // Times of a link.
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -6,10 +6,10 @@
 	"net"
 	"sync"
 
+	"github.com/pkg/errors"
+
 	"fescuerill/internal/schema/peer"
 	"fescuerill/ring"
-
-	"github.com/pkg/errors"
 )
 
 // Handler answers what comes from other daemons. Its methods do not block.
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -161,7 +161,7 @@
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.Atoi(r.FormValue("after"))
 	wait, _ := time.ParseDuration(r.FormValue("wait"))
-	end := time.After(wait)
+	end := time.After(max(wait, time.Nanosecond))
 	for {
 		s.mu.Lock()
 		e, ok := s.entries[r.PathValue("key")]
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -8,10 +8,10 @@
 	"sync"
 	"time"
 
-	"fescuerill/caller"
-
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
+
+	"fescuerill/caller"
 )
 
 // Load describes callers that arrive at random, whatever becomes of those
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fescuerill/caller"
 	"fescuerill/docs"
 	"fescuerill/internal/daemon"
@@ -13,8 +15,6 @@
 	"fescuerill/internal/standin"
 	"fescuerill/settings"
 	"fescuerill/store"
-
-	"github.com/pkg/errors"
 )
 
 // readyTime bounds how long a trial waits for its daemons.
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -4,11 +4,11 @@
 	"testing"
 	"time"
 
-	"fescuerill/internal/standin"
-	"fescuerill/internal/trial"
-
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"fescuerill/internal/standin"
+	"fescuerill/internal/trial"
 )
 
 func start(t *testing.T, o trial.Options) *trial.Trial {
--- a/outcome/memory.go
+++ b/outcome/memory.go
@@ -4,9 +4,9 @@
 	"container/list"
 	"time"
 
-	"fescuerill/internal/invariant"
-
 	"github.com/pkg/errors"
+
+	"fescuerill/internal/invariant"
 )
 
 // ErrFull is returned when no request can be remembered and thus none be run.
--- a/settings/apply.go
+++ b/settings/apply.go
@@ -6,10 +6,10 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fescuerill/internal/schema/platform"
 	"fescuerill/store"
-
-	"github.com/pkg/errors"
 )
 
 // Keys of the settings in the store.
--- a/settings/check.go
+++ b/settings/check.go
@@ -6,14 +6,14 @@
 	"strings"
 	"sync"
 
-	"fescuerill/internal/schema"
-
 	"github.com/pelletier/go-toml/v2"
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"github.com/santhosh-tekuri/jsonschema/v6/kind"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
 	"gopkg.in/yaml.v3"
+
+	"fescuerill/internal/schema"
 )
 
 var (
@@ -115,6 +115,8 @@
 		return
 	case *kind.Pattern:
 		d.add(path, "'"+k.Got+"' "+patternHint(k.Want))
+	case *kind.ExclusiveMinimum:
+		d.add(path, k.Got.RatString()+" is not above "+k.Want.RatString())
 	default:
 		d.add(path, e.ErrorKind.LocalizedString(message.NewPrinter(language.English)))
 	}
--- a/settings/history.go
+++ b/settings/history.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"slices"
 
+	"github.com/pkg/errors"
+
 	"fescuerill/internal/schema/platform"
 	"fescuerill/store"
-
-	"github.com/pkg/errors"
 )
 
 // Kept is the number of manifests that the store keeps.
--- a/settings/part.go
+++ b/settings/part.go
@@ -6,10 +6,10 @@
 	"strconv"
 	"strings"
 
-	"fescuerill/internal/schema/tree"
-
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+
+	"fescuerill/internal/schema/tree"
 )
 
 // Part is a piece of the tree: the root, a target group without its services,
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -8,9 +8,9 @@
 	"sort"
 	"strings"
 
-	"fescuerill/internal/schema/tree"
-
 	"github.com/pkg/errors"
+
+	"fescuerill/internal/schema/tree"
 )
 
 // Tree is the checked settings of a deployment. It is not changed after it
--- a/settings/tree_test.go
+++ b/settings/tree_test.go
@@ -3,10 +3,10 @@
 import (
 	"testing"
 
-	"fescuerill/settings"
-
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"fescuerill/settings"
 )
 
 const small = `deployment = "khomas"
--- a/store/client.go
+++ b/store/client.go
@@ -12,9 +12,9 @@
 	"sync/atomic"
 	"time"
 
-	"fescuerill/internal/schema/platform"
-
 	"github.com/pkg/errors"
+
+	"fescuerill/internal/schema/platform"
 )
 
 // Bounds of the client.
