--- a/internal/trial/faults_test.go
+++ b/internal/trial/faults_test.go
@@ -18,7 +18,8 @@
 )
 
 // TestAnswersNeverMixSnapshots changes the snapshot and with it the number of
-// shards ten times a second.
+// shards ten times a second. Every other time the targets drop the one before at
+// once, so that searches that have pinned it must start again.
 func TestAnswersNeverMixSnapshots(t *testing.T) {
 	run := start(t, trial.Options{Hosts: 3})
 	stop := make(chan struct{})
@@ -29,7 +30,11 @@
 			case <-stop:
 				return
 			case <-time.After(100 * time.Millisecond):
-				run.Deployment().SetSnapshots(n-1, n)
+				if n%2 == 0 {
+					run.Deployment().SetSnapshots(n)
+				} else {
+					run.Deployment().SetSnapshots(n-1, n)
+				}
 			}
 		}
 	})
