--- a/host/membership.go
+++ b/host/membership.go
@@ -98,6 +98,42 @@
 	m.shuffle()
 }
 
+// Meet takes a host that is known to have run with an incarnation and reports
+// whether that is new. A new host is alive.
+func (m *Membership) Meet(now time.Time, id, incarnation string) bool {
+	if id == m.self.ID {
+		return false
+	}
+	if p := m.peers[id]; p != nil && p.Incarnation == incarnation {
+		return false
+	}
+	m.peers[id] = &peer{News: News{ID: id, Incarnation: incarnation}, since: now}
+	m.shuffle()
+	return true
+}
+
+// Forget drops the hosts that have been dead for a time and appends their IDs
+// to dst.
+func (m *Membership) Forget(now time.Time, after time.Duration, dst []string) []string {
+	for id, p := range m.peers {
+		if p.State == Dead && now.Sub(p.since) >= after {
+			delete(m.peers, id)
+			dst = append(dst, id)
+		}
+	}
+	if len(dst) > 0 {
+		m.shuffle()
+	}
+	return dst
+}
+
+// Each calls f for each other host that is known.
+func (m *Membership) Each(f func(News)) {
+	for _, p := range m.peers {
+		f(p.News)
+	}
+}
+
 func (m *Membership) shuffle() {
 	m.order = m.order[:0]
 	for id := range m.peers {
--- /dev/null
+++ b/internal/command/host.go
@@ -0,0 +1,99 @@
+package command
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"fescuerill/internal/observe/logbook"
+	"fescuerill/internal/serving/station"
+	"fescuerill/internal/tally"
+	"fescuerill/platform"
+)
+
+func newHost() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "host [--settings FILE]",
+		Short: "Run a host on the operators' platform",
+		Long: `Run a host on the operators' platform until it is told to stop.
+
+SIGTERM and SIGINT begin a planned stop: the host is no longer named to callers,
+serves until those that know it have other addresses, finishes every request and
+exits with code 0. A second signal cuts the stop short. SIGHUP reads the settings
+file again.`,
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if file == "" {
+				file = platform.SettingsFile()
+			}
+			return runHost(c, file)
+		},
+	}
+	c.Flags().StringVar(&file, "settings", "", "settings file of the platform; without it the one named by the environment")
+	return c
+}
+
+func runHost(c *cobra.Command, file string) error {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	settings, store, err := platform.ReadSettings(file)
+	if err != nil {
+		return err
+	}
+	book := logbook.New(c.OutOrStdout())
+	written, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		book.Run(written)
+		close(done)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	log := slog.New(slog.NewTextHandler(book, nil))
+	s, err := station.Start(settings, platform.NewClient(store), log, &tally.Tally{})
+	if err != nil {
+		log.Error("not started", "error", err)
+		return err
+	}
+	follow(signals, s, file, log)
+	return nil
+}
+
+// follow obeys signals until the host has stopped.
+func follow(signals <-chan os.Signal, s *station.Station, file string, log *slog.Logger) {
+	for got := range signals {
+		if got != syscall.SIGHUP {
+			break
+		}
+		settings, _, err := platform.ReadSettings(file)
+		if err != nil {
+			log.Error("settings not reloaded", "error", err)
+			continue
+		}
+		s.Reload(settings)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		for {
+			select {
+			case got := <-signals:
+				if got != syscall.SIGHUP {
+					cancel()
+					return
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	s.Stop(ctx)
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -11,6 +11,7 @@
 	"fescuerill/admission"
 	"fescuerill/budget"
 	"fescuerill/internal/schema/peer"
+	"fescuerill/internal/serving/latency"
 	"fescuerill/internal/tally"
 	"fescuerill/query"
 	"fescuerill/ring"
@@ -28,6 +29,8 @@
 	// overloadShare is the share of the shards of a query that, when lost to
 	// overload, counts as a sign of it.
 	overloadShare = 0.02
+	// hedgeLeast is the least time after which a part is hedged.
+	hedgeLeast = 2 * time.Millisecond
 )
 
 // entry is the entry role of a daemon.
@@ -44,7 +47,7 @@
 
 	catalog   snapshot.Catalog
 	standings standings
-	latencies latencies
+	latencies latency.Groups
 	plans     planCache
 
 	mu      sync.Mutex
@@ -297,7 +300,9 @@
 func (e *entry) hedgeAfter(v *settings.View, scope string) time.Duration {
 	var most time.Duration
 	for _, s := range v.Scope(nil, scope) {
-		most = max(most, e.latencies.quantile(group(s.Path()), s.Policy().HedgeQuantile()))
+		if q := e.latencies.Quantile(group(s.Path()), s.Policy().HedgeQuantile()); q > 0 {
+			most = max(most, hedgeLeast, q)
+		}
 	}
 	return most
 }
--- a/internal/daemon/pass.go
+++ b/internal/daemon/pass.go
@@ -53,7 +53,7 @@
 		switch outcome {
 		case query.Done:
 			took := now.Sub(began)
-			p.entry.latencies.add(now, group(t.Target), took)
+			p.entry.latencies.Add(now, group(t.Target), took)
 			p.entry.standings.answered(t.Target, took)
 		case query.Unknown:
 			p.entry.standings.gaveUp(t.Target, now.Sub(began))
--- /dev/null
+++ b/internal/fleet/peers/peers.go
@@ -0,0 +1,342 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fescuerill/host"
+	"fescuerill/internal/schema/fleet"
+	"fescuerill/internal/tally"
+)
+
+const (
+	// datagramMost is the length in bytes of the longest datagram.
+	datagramMost = 1400
+	// indirect is how long the helpers have to reach a host that did not answer.
+	indirect = 300 * time.Millisecond
+	// forgetAfter is how long a dead host is remembered.
+	forgetAfter = 20 * time.Second
+	// countAfter is how long a host that is gone still counts in the size of
+	// the fleet, since what it sent may still be at work.
+	countAfter = 15 * time.Second
+)
+
+// Host is what is known of another host.
+type Host struct {
+	// Address is where other hosts reach it.
+	Address     string
+	DataCentre  string
+	Incarnation string
+	State       host.State
+}
+
+// Self is what this host tells the others of itself.
+type Self struct {
+	Address     string
+	DataCentre  string
+	Incarnation string
+}
+
+// Peers follows the other hosts. Start makes one. Its methods may be called
+// from several goroutines.
+type Peers struct {
+	self  Self
+	log   *slog.Logger
+	tally *tally.Tally
+	conn  net.PacketConn
+	feed  Teller
+
+	mu      sync.Mutex
+	members host.Membership
+	centres map[string]string
+	greeted map[string]time.Time
+	gone    map[string]time.Time
+	number  int
+	pending map[int]probe
+}
+
+// probe is a probe under way; asker is who wants to know, or "" for this host.
+type probe struct {
+	about  string
+	asker  string
+	number int
+}
+
+// Start follows other hosts over the datagram socket until ctx ends.
+func Start(ctx context.Context, self Self, conn net.PacketConn, random *rand.Rand, log *slog.Logger, t *tally.Tally) *Peers {
+	p := &Peers{
+		self: self, conn: conn, log: log, tally: t,
+		centres: map[string]string{}, greeted: map[string]time.Time{}, gone: map[string]time.Time{}, pending: map[int]probe{},
+	}
+	p.members.Reset(time.Now(), self.Address, self.Incarnation, random)
+	go p.receive()
+	go p.tick(ctx)
+	return p
+}
+
+// Greet probes hosts whose run is not known, so that they come to know this
+// one.
+func (p *Peers) Greet(addresses []string) {
+	for _, a := range addresses {
+		if a != p.self.Address {
+			p.probe(a, "", 0)
+		}
+	}
+}
+
+// Met takes what the store says of a host.
+func (p *Peers) Met(h Host) {
+	p.mu.Lock()
+	fresh := p.meet(time.Now(), h)
+	p.mu.Unlock()
+	if fresh {
+		p.probe(h.Address, "", 0)
+	}
+}
+
+// meet takes a host that is not known and reports whether it is new.
+func (p *Peers) meet(now time.Time, h Host) bool {
+	if h.Address == p.self.Address {
+		return false
+	}
+	p.centres[h.Address] = h.DataCentre
+	if !p.members.Meet(now, h.Address, h.Incarnation) {
+		return false
+	}
+	delete(p.gone, h.Address)
+	p.log.Info("host met", "host", h.Address, "data-centre", h.DataCentre, "incarnation", h.Incarnation)
+	return true
+}
+
+// Leave tells the other hosts that this one leaves.
+func (p *Peers) Leave() {
+	p.mu.Lock()
+	p.members.Leave()
+	var all []string
+	p.members.Each(func(n host.News) {
+		if n.State != host.Dead {
+			all = append(all, n.ID)
+		}
+	})
+	p.mu.Unlock()
+	for _, a := range all {
+		p.probe(a, "", 0)
+	}
+}
+
+// Each calls f for each other host that is known.
+func (p *Peers) Each(f func(Host)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.members.Each(func(n host.News) {
+		f(Host{Address: n.ID, DataCentre: p.centres[n.ID], Incarnation: n.Incarnation, State: n.State})
+	})
+}
+
+// Size returns the number of hosts of the fleet, with this one and those that
+// died lately.
+func (p *Peers) Size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	n := 1
+	p.members.Each(func(news host.News) {
+		if news.State != host.Dead {
+			n++
+		}
+	})
+	for a, at := range p.gone {
+		if now.Sub(at) > countAfter {
+			delete(p.gone, a)
+			continue
+		}
+		n++
+	}
+	return n
+}
+
+func (p *Peers) tick(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.mu.Lock()
+		now := time.Now()
+		before := p.states()
+		id := p.members.Tick(now)
+		p.report(before, now)
+		for _, dead := range p.members.Forget(now, forgetAfter, nil) {
+			delete(p.centres, dead)
+		}
+		wait := p.members.Next().Sub(now)
+		p.mu.Unlock()
+		if id != "" {
+			p.probe(id, "", 0)
+		}
+		t := time.NewTimer(max(wait, 10*time.Millisecond))
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+		}
+	}
+	_ = p.conn.Close()
+}
+
+// states returns what is thought of the hosts.
+func (p *Peers) states() map[string]host.State {
+	states := map[string]host.State{}
+	p.members.Each(func(n host.News) { states[n.ID] = n.State })
+	return states
+}
+
+// report logs the hosts of which something else is thought than before.
+func (p *Peers) report(before map[string]host.State, now time.Time) {
+	p.members.Each(func(n host.News) {
+		old, known := before[n.ID]
+		if !known || old == n.State {
+			return
+		}
+		if n.State == host.Dead {
+			p.gone[n.ID] = now
+		}
+		if old == host.Dead {
+			delete(p.gone, n.ID)
+		}
+		p.tally.Add("host-"+n.State.String(), 1)
+		p.log.Info("host state", "host", n.ID, "before", old.String(), "state", n.State.String(), "version", n.Version)
+	})
+}
+
+// probe asks a host whether it is alive, for itself or for another host.
+func (p *Peers) probe(about, asker string, number int) {
+	p.mu.Lock()
+	p.number++
+	mine := p.number
+	p.pending[mine] = probe{about: about, asker: asker, number: number}
+	p.mu.Unlock()
+	p.send(about, fleet.MessageKindProbe, mine, "")
+	time.AfterFunc(host.Timeout, func() { p.unanswered(mine, about, asker) })
+}
+
+func (p *Peers) unanswered(mine int, about, asker string) {
+	p.mu.Lock()
+	_, open := p.pending[mine]
+	var helpers []string
+	if open && asker == "" {
+		helpers = p.members.Random(nil, host.Helpers, about)
+	}
+	p.mu.Unlock()
+	if !open {
+		return
+	}
+	for _, h := range helpers {
+		p.send(h, fleet.MessageKindForward, mine, about)
+	}
+	time.AfterFunc(indirect, func() { p.failed(mine, about, asker) })
+}
+
+func (p *Peers) failed(mine int, about, asker string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, open := p.pending[mine]; !open {
+		return
+	}
+	delete(p.pending, mine)
+	if asker != "" {
+		return
+	}
+	now := time.Now()
+	before := p.states()
+	p.members.Failed(now, about)
+	p.report(before, now)
+}
+
+func (p *Peers) send(to string, kind fleet.MessageKind, number int, about string) {
+	p.mu.Lock()
+	m := fleet.Message{
+		Kind: kind, From: p.self.Address, Incarnation: p.self.Incarnation,
+		DataCentre: p.self.DataCentre, Number: number, News: []fleet.News{},
+	}
+	for _, n := range p.members.News(nil) {
+		m.News = append(m.News, fleet.News{
+			Host: n.ID, Incarnation: n.Incarnation, Version: n.Version, State: fleet.NewsState(n.State.String()),
+		})
+	}
+	p.mu.Unlock()
+	if about != "" {
+		m.About = &about
+	}
+	text, err := json.Marshal(m)
+	if err != nil {
+		p.log.Error("datagram not written", "error", err)
+		return
+	}
+	address, err := net.ResolveUDPAddr("udp", to)
+	if err != nil {
+		p.log.Error("bad address of a host", "host", to, "error", err)
+		return
+	}
+	if _, err := p.conn.WriteTo(text, address); err != nil && !errors.Is(err, net.ErrClosed) {
+		p.tally.Add("datagrams-not-sent", 1)
+	}
+}
+
+func (p *Peers) receive() {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, _, err := p.conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			p.tally.Add("datagrams-not-received", 1)
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		var m fleet.Message
+		if err := json.Unmarshal(buffer[:n], &m); err != nil {
+			p.tally.Add("datagrams-unreadable", 1)
+			continue
+		}
+		p.take(m)
+	}
+}
+
+func (p *Peers) take(m fleet.Message) {
+	now := time.Now()
+	p.mu.Lock()
+	before := p.states()
+	fresh := p.meet(now, Host{Address: m.From, DataCentre: m.DataCentre, Incarnation: m.Incarnation})
+	p.members.Hear(now, m.From, newsOf(m.News))
+	p.report(before, now)
+	var done probe
+	if m.Kind == fleet.MessageKindAnswer {
+		done = p.pending[m.Number]
+		delete(p.pending, m.Number)
+	}
+	p.mu.Unlock()
+	switch {
+	case m.Kind == fleet.MessageKindProbe:
+		p.send(m.From, fleet.MessageKindAnswer, m.Number, "")
+	case m.Kind == fleet.MessageKindForward && m.About != nil:
+		p.probe(*m.About, m.From, m.Number)
+	case done.asker != "":
+		p.send(done.asker, fleet.MessageKindAnswer, done.number, "")
+	}
+	if fresh && m.Kind == fleet.MessageKindAnswer {
+		p.log.Debug("host answered a greeting", "host", m.From)
+	}
+}
+
+func newsOf(items []fleet.News) []host.News {
+	var news []host.News
+	for _, n := range items {
+		news = append(news, host.News{ID: n.Host, Incarnation: n.Incarnation, Version: n.Version, State: host.ParseState(string(n.State))})
+	}
+	return news
+}
--- /dev/null
+++ b/internal/fleet/peers/tell.go
@@ -0,0 +1,173 @@
+package peers
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"fescuerill/host"
+	"fescuerill/internal/fleet/feed"
+	"fescuerill/internal/schema/fleet"
+	"fescuerill/owner"
+)
+
+const methodItems = "store/items"
+
+// errNobody is returned when there is no other host to ask.
+var errNobody = errors.New("no other host")
+
+// Teller knows what a host knows of the store.
+type Teller interface {
+	Tell(now time.Time, after int64, whole bool) (feed.Told, bool)
+}
+
+// Serve answers other hosts at the listener until ctx ends.
+func (p *Peers) Serve(ctx context.Context, l net.Listener, t Teller) {
+	p.feed = t
+	context.AfterFunc(ctx, func() { _ = l.Close() })
+	for {
+		raw, err := l.Accept()
+		if err != nil {
+			if ctx.Err() == nil {
+				p.log.Error("connections of other hosts are no longer taken", "error", err)
+			}
+			return
+		}
+		stream := jsonrpc2.NewPlainObjectStream(raw)
+		_ = jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(p.handle))
+	}
+}
+
+func (p *Peers) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	if r.Method != methodItems || r.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method"}
+	}
+	var since fleet.Since
+	if err := json.Unmarshal(*r.Params, &since); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	now := time.Now()
+	told, ok := p.feed.Tell(now, int64(since.Revision), since.Whole)
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "nothing known"}
+	}
+	return encode(now, told), nil
+}
+
+func encode(now time.Time, t feed.Told) fleet.Items {
+	out := fleet.Items{Revision: int(t.Revision), Whole: t.Whole, AgeMs: int(t.Age.Milliseconds()), Items: []fleet.Item{}}
+	if !t.Trouble.IsZero() {
+		ms := int(now.Sub(t.Trouble).Milliseconds())
+		out.TroubleMs = &ms
+	}
+	for _, i := range t.Items {
+		item := fleet.Item{Key: i.Key, Revision: int(i.Revision)}
+		if i.Gone {
+			item.Gone = &i.Gone
+		} else {
+			text := base64.StdEncoding.EncodeToString(i.Value)
+			item.Value = &text
+		}
+		out.Items = append(out.Items, item)
+	}
+	return out
+}
+
+func decode(now time.Time, m fleet.Items) (feed.Told, error) {
+	t := feed.Told{Revision: int64(m.Revision), Whole: m.Whole, Age: time.Duration(m.AgeMs) * time.Millisecond}
+	if m.TroubleMs != nil {
+		t.Trouble = now.Add(-time.Duration(*m.TroubleMs) * time.Millisecond)
+	}
+	for _, i := range m.Items {
+		item := feed.Item{Key: i.Key, Revision: int64(i.Revision), Gone: i.Gone != nil && *i.Gone}
+		if i.Value != nil {
+			value, err := base64.StdEncoding.DecodeString(*i.Value)
+			if err != nil {
+				return t, errors.Wrapf(err, "item %s", i.Key)
+			}
+			item.Value = value
+		}
+		t.Items = append(t.Items, item)
+	}
+	return t, nil
+}
+
+// Any implements feed.Peers.
+func (p *Peers) Any() bool {
+	_, ok := p.someone()
+	return ok
+}
+
+// Guide implements feed.Peers.
+func (p *Peers) Guide() bool {
+	_, ok := p.guide()
+	return ok
+}
+
+// guide returns the host that reads the store for this data centre, if it is
+// another one.
+func (p *Peers) guide() (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best := p.self.Address
+	p.members.Each(func(n host.News) {
+		if n.State == host.Alive && p.centres[n.ID] == p.self.DataCentre && owner.Weight(p.self.DataCentre, n.ID) > owner.Weight(p.self.DataCentre, best) {
+			best = n.ID
+		}
+	})
+	return best, best != p.self.Address
+}
+
+// Rank returns how many live hosts come before this one for something.
+func (p *Peers) Rank(something string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	mine, n := owner.Weight(something, p.self.Address), 0
+	p.members.Each(func(news host.News) {
+		if news.State == host.Alive && owner.Weight(something, news.ID) > mine {
+			n++
+		}
+	})
+	return n
+}
+
+func (p *Peers) someone() (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found := p.members.Random(nil, 1, "")
+	if len(found) == 0 {
+		return "", false
+	}
+	return found[0], true
+}
+
+// Ask implements feed.Peers.
+func (p *Peers) Ask(ctx context.Context, after int64, whole bool) (feed.Told, error) {
+	address, ok := p.guide()
+	if whole || !ok {
+		address, ok = p.someone()
+	}
+	if !ok {
+		return feed.Told{}, errNobody
+	}
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return feed.Told{}, errors.Wrap(err, "host")
+	}
+	c := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(raw), jsonrpc2.HandlerWithError(
+		func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no methods here"}
+		}))
+	defer func() { _ = c.Close() }()
+	var m fleet.Items
+	if err := c.Call(ctx, methodItems, fleet.Since{Revision: int(after), Whole: whole}, &m); err != nil {
+		return feed.Told{}, errors.Wrap(err, "host "+address)
+	}
+	return decode(time.Now(), m)
+}
--- /dev/null
+++ b/internal/serving/copies/board.go
@@ -0,0 +1,129 @@
+package copies
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Weights of the choice.
+const (
+	// overduePaces is how many usual latencies an answer may take before the
+	// copy is avoided.
+	overduePaces = 3
+	// overdueLeast is the least time after which an answer is overdue.
+	overdueLeast = 8 * time.Millisecond
+	// overdueCost stands for the wait at a copy whose answer is overdue, in
+	// usual latencies.
+	overdueCost = 8
+	// restCost keeps a resting copy behind all others, in usual latencies.
+	restCost = 1000
+	// failureCost is what a copy that fails all requests costs, in usual
+	// latencies.
+	failureCost = 10
+	// farCost is what a copy in another data centre costs, in usual latencies.
+	farCost = 0.7
+	// forgetAfter is how long a copy that is not used is remembered.
+	forgetAfter = time.Minute
+)
+
+// Candidate is a copy that may be asked.
+type Candidate struct {
+	ID string
+	// Slots is the number of requests that the target runs at once.
+	Slots int
+	// Near says that it stands in the data centre of this host.
+	Near bool
+	// Full says that all connections of this host to it are taken.
+	Full bool
+	// Cold says that it has just started and bears little.
+	Cold bool
+}
+
+// Board holds the memory of all copies. The zero value is ready. It is not safe
+// for use by several goroutines.
+type Board struct {
+	copies map[string]*Copy
+	tokens uint64
+}
+
+// Copy returns the memory of a copy.
+func (b *Board) Copy(id string) *Copy {
+	c := b.copies[id]
+	if c == nil {
+		if b.copies == nil {
+			b.copies = map[string]*Copy{}
+		}
+		c = &Copy{}
+		b.copies[id] = c
+	}
+	return c
+}
+
+// Forget drops the memory of a copy.
+func (b *Board) Forget(id string) { delete(b.copies, id) }
+
+// Choose returns the index of the candidate to ask, or -1 if each of them is
+// better left alone.
+func (b *Board) Choose(now time.Time, candidates []Candidate, random *rand.Rand) int {
+	best, least := -1, 0.0
+	for i, c := range candidates {
+		memory := b.Copy(c.ID)
+		if memory.Resting(now) {
+			continue
+		}
+		cost := memory.cost(now, c) + random.Float64()*0.05
+		if best < 0 || cost < least {
+			best, least = i, cost
+		}
+	}
+	return best
+}
+
+// cost returns the wait to expect at a copy, in usual latencies.
+func (c *Copy) cost(now time.Time, a Candidate) float64 {
+	cost := c.Pace(now) * (1 + float64(len(c.underWay))/float64(max(1, a.Slots)))
+	cost += failureCost * c.Failures(now)
+	if c.Overdue(now) {
+		cost += overdueCost
+	}
+	if a.Full {
+		cost += overdueCost
+	}
+	if a.Cold {
+		cost += restCost
+	}
+	if !a.Near {
+		cost += farCost
+	}
+	return cost
+}
+
+// Wait returns the shortest rest left among the candidates.
+func (b *Board) Wait(now time.Time, candidates []Candidate) time.Duration {
+	least := restMost
+	for _, c := range candidates {
+		least = min(least, b.Copy(c.ID).RestLeft(now))
+	}
+	return least
+}
+
+// Begin notes that a request goes to a copy and returns a token for End.
+func (b *Board) Begin(now time.Time, id string, usual time.Duration) uint64 {
+	b.tokens++
+	b.Copy(id).begin(now, b.tokens, max(overdueLeast, overduePaces*usual))
+	return b.tokens
+}
+
+// End takes how a request ended and returns how long it took.
+func (b *Board) End(now time.Time, id string, token uint64, result Result, usual time.Duration) time.Duration {
+	return b.Copy(id).end(now, token, result, usual)
+}
+
+// Expire forgets copies that have not been used for long.
+func (b *Board) Expire(now time.Time) {
+	for id, c := range b.copies {
+		if len(c.underWay) == 0 && now.Sub(c.used) > forgetAfter {
+			delete(b.copies, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/serving/exchange/conn.go
@@ -0,0 +1,88 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// errCrossed is returned when a connection brings answers to other requests
+// only.
+var errCrossed = errors.New("answers to other requests")
+
+const (
+	// idleMost is how long a connection is kept that is not used.
+	idleMost = 20 * time.Second
+	// idleMargin is how much earlier than the target this host closes an idle
+	// connection.
+	idleMargin = time.Second
+)
+
+// conn is a kept connection to a target.
+type conn struct {
+	raw  net.Conn
+	in   *bufio.Reader
+	out  bytes.Buffer
+	used time.Time
+	idle time.Duration
+	// writing delivers the end of a long write.
+	writing chan error
+	// last says that no request may follow on the connection.
+	last bool
+}
+
+func newConn(raw net.Conn) *conn {
+	return &conn{raw: raw, in: bufio.NewReaderSize(raw, 2048), idle: idleMost}
+}
+
+// keep notes for how long the target keeps the connection and whether it may be
+// used again.
+func (c *conn) keep(h http.Header) {
+	for _, v := range strings.Split(h.Get("Keep-Alive"), ",") {
+		text, ok := strings.CutPrefix(strings.TrimSpace(v), "timeout=")
+		if seconds, err := strconv.Atoi(text); ok && err == nil {
+			c.idle = min(idleMost, time.Duration(seconds)*time.Second-idleMargin)
+		}
+	}
+	if c.in.Buffered() > 0 || !c.written() {
+		c.last = true
+	}
+}
+
+// sound reports whether the connection can take a request: it has not been idle
+// for too long, is open and has brought nothing that nobody asked for.
+func (c *conn) sound(now time.Time) bool {
+	return !c.last && now.Sub(c.used) < c.idle && c.in.Buffered() == 0 && quiet(c.raw)
+}
+
+// quiet reports whether the connection is open with nothing to read.
+func quiet(raw net.Conn) bool {
+	s, ok := raw.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	nothing := false
+	var one [1]byte
+	err = rc.Control(func(fd uintptr) {
+		_, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		nothing = errors.Is(e, syscall.EAGAIN)
+	})
+	return err == nil && nothing
+}
+
+func writeLength(b *bytes.Buffer, n int) {
+	b.WriteString("Content-Length: ")
+	b.WriteString(strconv.Itoa(n))
+	b.WriteString("\r\n")
+}
--- /dev/null
+++ b/internal/serving/exchange/exchange.go
@@ -0,0 +1,192 @@
+package exchange
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fescuerill/internal/serving/search"
+)
+
+// Target is where a request is sent.
+type Target struct {
+	ID      string
+	Address string
+}
+
+// Ask is a request of a caller on its way to targets. It does not change once
+// it is made.
+type Ask struct {
+	ID     string
+	Method string
+	// URI is the path and query as the caller sent them.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Load is what a target says of its work. Slots is 0 if it says nothing.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Reply is how a send ended.
+type Reply struct {
+	Outcome search.Outcome
+	// Reason names the cause in kebab case when the outcome is not good.
+	Reason string
+	Status int
+	Header http.Header
+	Body   []byte
+	// Stamp is the target's proof of its answer.
+	Stamp string
+	Load  Load
+	// Shed says that the target refused for want of room.
+	Shed bool
+	// Moved says that another target has the address.
+	Moved bool
+	// Local says that the send failed on this host and tells nothing of the
+	// target.
+	Local bool
+	// Err is what went wrong with the connection.
+	Err error
+}
+
+// Dialect knows the names that the target expects.
+type Dialect interface {
+	// Prepare sets the header fields of a request to the target.
+	Prepare(h http.Header, a *Ask, t Target, left time.Duration)
+	// Interpret takes what the header of an answer says and sets the outcome.
+	Interpret(h http.Header, r *Reply)
+	// Answers returns the ID of the request that an answer belongs to, or "".
+	Answers(h http.Header) string
+}
+
+// Reasons of outcomes.
+const (
+	reasonNoConnection = "no-connection"
+	reasonRefused      = "connect-refused"
+	reasonConnect      = "connect-timeout"
+	reasonWrite        = "write-failed"
+	reasonBroken       = "connection-broken"
+	reasonFormat       = "bad-format"
+	reasonTruncated    = "truncated"
+	reasonCancelled    = "cancelled"
+	reasonTooLong      = "answer-too-long"
+	reasonCrossed      = "crossed-answers"
+)
+
+const (
+	// answerMost is the length in bytes above which an answer is not taken.
+	answerMost = 8 << 20
+	// promptBody is the length in bytes up to which a body is written before
+	// the answer is read.
+	promptBody = 8 << 10
+	// strayMost is the number of answers to other requests that are passed over
+	// before a connection is given up.
+	strayMost = 2
+)
+
+// errTooLong is returned for an answer above the bound.
+var errTooLong = errors.New("answer too long")
+
+// write sends the request over the connection.
+func (c *conn) write(a *Ask, t Target, d Dialect, left time.Duration) error {
+	h := a.Header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	d.Prepare(h, a, t, left)
+	b := &c.out
+	b.Reset()
+	b.WriteString(a.Method)
+	b.WriteByte(' ')
+	b.WriteString(a.URI)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(a.Host)
+	b.WriteString("\r\n")
+	if err := h.Write(b); err != nil {
+		return err
+	}
+	if len(a.Body) > 0 || a.Method == http.MethodPost || a.Method == http.MethodPut {
+		writeLength(b, len(a.Body))
+	}
+	b.WriteString("\r\n")
+	b.Write(a.Body)
+	if len(a.Body) <= promptBody {
+		_, err := c.raw.Write(b.Bytes())
+		return err
+	}
+	c.writing = make(chan error, 1)
+	go func() {
+		_, err := c.raw.Write(b.Bytes())
+		c.writing <- err
+	}()
+	return nil
+}
+
+// written reports whether the whole request has been written. A target may
+// answer before it has read a long body.
+func (c *conn) written() bool {
+	if c.writing == nil {
+		return true
+	}
+	select {
+	case err := <-c.writing:
+		c.writing = nil
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// read takes the answer to the request off the connection. Answers to other
+// requests are passed over.
+func (c *conn) read(a *Ask, d Dialect) (*http.Response, []byte, error) {
+	request := &http.Request{Method: a.Method}
+	for stray := 0; ; {
+		r, err := http.ReadResponse(c.in, request)
+		if err != nil {
+			return nil, nil, err
+		}
+		if r.StatusCode < http.StatusOK {
+			continue
+		}
+		body, err := readBody(r)
+		if err != nil {
+			return r, nil, err
+		}
+		if r.Close {
+			c.last = true
+		}
+		if id := d.Answers(r.Header); id == "" || id == a.ID {
+			return r, body, nil
+		}
+		c.last = true
+		if stray++; stray > strayMost || r.Close {
+			return nil, nil, errCrossed
+		}
+	}
+}
+
+func readBody(r *http.Response) ([]byte, error) {
+	defer r.Body.Close()
+	if r.ContentLength > answerMost {
+		return nil, errTooLong
+	}
+	if r.ContentLength >= 0 {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	var b bytes.Buffer
+	n, err := io.Copy(&b, io.LimitReader(r.Body, answerMost+1))
+	if err == nil && n > answerMost {
+		err = errTooLong
+	}
+	return b.Bytes(), err
+}
--- /dev/null
+++ b/internal/serving/gateway/bounds.go
@@ -0,0 +1,55 @@
+package gateway
+
+import "time"
+
+// Bounds are what the platform expects of all hosts together.
+type Bounds struct {
+	// RetryFraction, RetryWindow and RetryAllowance bound the extra requests to
+	// a service in any window to a fraction of its requests plus an allowance.
+	RetryFraction  float64
+	RetryWindow    time.Duration
+	RetryAllowance float64
+	// ColdFactor and ColdAllowance bound the requests to a cold target in a
+	// second to its rate times the factor plus the allowance.
+	ColdFactor    float64
+	ColdAllowance float64
+}
+
+const (
+	// settleMargin is how long before the aim an answer is given, for the way to
+	// the caller and back and the work of the host.
+	settleMargin = 7 * time.Millisecond
+	// endMargin is how long before the caller leaves it gets its last answer.
+	endMargin = 15 * time.Millisecond
+	// defaultPatience is the time for a request whose caller and route set none.
+	defaultPatience = 30 * time.Second
+	// strayTime is how long an answer is waited for that nobody needs any more,
+	// so that its connection can be kept.
+	strayTime = 400 * time.Millisecond
+	// leftTime is how long a target may go on after the caller has left.
+	leftTime = 100 * time.Millisecond
+	// retryLeast and retryMost bound the time after which a refused caller is
+	// to come back.
+	retryLeast = 100 * time.Millisecond
+	retryMost  = time.Second
+	// startRetry is that time while the host does not know what to serve.
+	startRetry = 300 * time.Millisecond
+	// requestsMost is the number of requests under way at once.
+	requestsMost = 512
+	// connectionShare is the part of a target's connections that the hosts use.
+	connectionShare = 0.9
+	// budgetShare is the part of the retry allowance that the hosts use.
+	budgetShare = 0.85
+	// windowMargin lengthens the budget window over the one that is bounded.
+	windowMargin = 1.1
+	// hedgeQuantile is the share of latencies after which a part is late.
+	hedgeQuantile = 0.95
+	// searchHedge and lookupHedge are the latest times of a hedge, as parts of
+	// the aim.
+	searchHedge = 0.25
+	lookupHedge = 0.5
+	// usualShare is the usual latency as a part of the aim until it is known.
+	usualShare = 0.125
+	// hedgeLeast is the earliest time of a hedge.
+	hedgeLeast = 4 * time.Millisecond
+)
--- /dev/null
+++ b/internal/serving/gateway/choose.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"fescuerill/internal/routing/catalog"
+	"fescuerill/internal/serving/copies"
+)
+
+// chooser picks targets for the parts of one request. Its methods are called
+// with the gateway locked.
+type chooser struct {
+	g        *Gateway
+	now      time.Time
+	services []string
+}
+
+// Choose implements search.Chooser.
+func (c *chooser) Choose(part int, tried []string, again bool) (string, bool) {
+	g := c.g
+	known := g.catalog.Service(c.services[part])
+	candidates := make([]copies.Candidate, 0, len(known))
+	warm := false
+	for _, k := range known {
+		if !g.catalog.Usable(k) || !again && slices.Contains(tried, k.ID) {
+			continue
+		}
+		cold := c.now.Before(k.ColdUntil)
+		warm = warm || !cold
+		candidates = append(candidates, copies.Candidate{
+			ID: k.ID, Slots: k.Slots, Near: k.DataCentre == g.dataCentre, Full: g.pool.Full(k.ID), Cold: cold,
+		})
+	}
+	candidates = c.admit(candidates, warm)
+	if fresh := without(candidates, tried); len(fresh) > 0 {
+		if i := g.board.Choose(c.now, fresh, g.random); i >= 0 {
+			return c.take(fresh[i])
+		}
+	}
+	i := g.board.Choose(c.now, candidates, g.random)
+	if i < 0 {
+		return "", false
+	}
+	return c.take(candidates[i])
+}
+
+func without(candidates []copies.Candidate, tried []string) []copies.Candidate {
+	if len(tried) == 0 {
+		return candidates
+	}
+	var fresh []copies.Candidate
+	for _, a := range candidates {
+		if !slices.Contains(tried, a.ID) {
+			fresh = append(fresh, a)
+		}
+	}
+	return fresh
+}
+
+// admit leaves out cold targets while a warm one can be asked, and those that
+// this host has no right to ask now.
+func (c *chooser) admit(candidates []copies.Candidate, warm bool) []copies.Candidate {
+	return slices.DeleteFunc(candidates, func(a copies.Candidate) bool {
+		return a.Cold && (warm || !c.g.mayWarm(c.now, a.ID))
+	})
+}
+
+func (c *chooser) take(a copies.Candidate) (string, bool) {
+	if a.Cold {
+		c.g.cold[a.ID] = c.now
+	}
+	return a.ID, true
+}
+
+// mayWarm reports whether this host may send a request to a cold target now.
+// Each second as many hosts as the target bears requests may send it one: those
+// that come first for it among the live hosts, so that hosts which see a
+// slightly different fleet stay within the slack.
+func (g *Gateway) mayWarm(now time.Time, id string) bool {
+	k := g.catalog.Get(id)
+	if k == nil || now.Sub(g.cold[id]) < coldPause {
+		return false
+	}
+	return g.fleet.Rank(id) < g.coldHosts(k)
+}
+
+const (
+	// coldPause is the time between two requests of one host to a cold target.
+	coldPause = 1100 * time.Millisecond
+	// coldShare is the part of what a cold target bears that the hosts use.
+	coldShare = 0.5
+)
+
+// coldHosts returns how many hosts may each send a request a second.
+func (g *Gateway) coldHosts(k *catalog.Known) int {
+	rate := 0.0
+	if m := g.manifest.Load(); m != nil && m.Service(k.Service) != nil {
+		rate = m.Service(k.Service).ColdRate
+	}
+	return int(coldShare * (rate*g.bounds.ColdFactor + g.bounds.ColdAllowance))
+}
+
+// Extra implements search.Chooser.
+func (c *chooser) Extra(part int) bool {
+	ok := c.g.window(c.now, c.services[part]).Spend(c.now)
+	if !ok {
+		c.g.tally.Add("extra-refused-budget", 1)
+	}
+	return ok
+}
--- /dev/null
+++ b/internal/serving/gateway/gateway.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fescuerill/budget"
+	"fescuerill/internal/fleet/feed"
+	"fescuerill/internal/routing/catalog"
+	"fescuerill/internal/routing/manifest"
+	"fescuerill/internal/serving/copies"
+	"fescuerill/internal/serving/exchange"
+	"fescuerill/internal/serving/latency"
+	"fescuerill/internal/tally"
+)
+
+// Change is what an item of the store says. At most one of its fields is set.
+type Change struct {
+	Manifest *manifest.Manifest
+	Target   *catalog.Target
+	// Gone is the ID of a target that is no longer there.
+	Gone string
+	// Centre is a data centre that is taken out or, with Back, no longer.
+	Centre string
+	Back   bool
+}
+
+// Decoder reads items of the store.
+type Decoder interface {
+	// Decode returns what an item says. An item that cannot be read, or was
+	// deleted, names no target to use.
+	Decode(feed.Item) (Change, error)
+}
+
+// Fleet is what is known of the other hosts.
+type Fleet interface {
+	// Size returns the number of hosts, with this one and those that died
+	// lately.
+	Size() int
+	// Rank returns how many live hosts come before this one for something.
+	Rank(something string) int
+}
+
+// Gateway serves requests. New makes one. Its methods may be called from several
+// goroutines.
+type Gateway struct {
+	dataCentre string
+	fleet      Fleet
+	decoder    Decoder
+	log        *slog.Logger
+	tally      *tally.Tally
+	pool       exchange.Pool
+	latencies  latency.Groups
+	manifest   atomic.Pointer[manifest.Manifest]
+	running    atomic.Int64
+
+	mu       sync.Mutex
+	bounds   Bounds
+	catalog  catalog.Catalog
+	board    copies.Board
+	splitter manifest.Splitter
+	windows  map[string]*budget.Window
+	cold     map[string]time.Time
+	random   *rand.Rand
+	listed   bool
+}
+
+// Options are what a gateway works with.
+type Options struct {
+	DataCentre string
+	Fleet      Fleet
+	Decoder    Decoder
+	Dialect    exchange.Dialect
+	Dial       exchange.Dial
+	Bounds     Bounds
+	Random     *rand.Rand
+	Log        *slog.Logger
+	Tally      *tally.Tally
+}
+
+// New returns a gateway that knows no manifest yet.
+func New(o Options) *Gateway {
+	g := &Gateway{
+		dataCentre: o.DataCentre, fleet: o.Fleet, decoder: o.Decoder, log: o.Log, tally: o.Tally,
+		bounds: o.Bounds, random: o.Random, windows: map[string]*budget.Window{}, cold: map[string]time.Time{},
+	}
+	g.pool.Reset(o.Dial, o.Dialect, func() { g.tally.Add("target-connections-opened", 1) })
+	return g
+}
+
+// SetBounds takes bounds that have changed.
+func (g *Gateway) SetBounds(b Bounds) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if b == g.bounds {
+		return
+	}
+	g.bounds = b
+	clear(g.windows)
+}
+
+// Manifest returns the manifest in force, or nil.
+func (g *Gateway) Manifest() *manifest.Manifest { return g.manifest.Load() }
+
+// Ready reports whether the gateway knows what to serve and where.
+func (g *Gateway) Ready() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.listed && g.manifest.Load() != nil
+}
+
+// Running returns the number of requests under way.
+func (g *Gateway) Running() int { return int(g.running.Load()) }
+
+// Housekeep does what is due now and then, until ctx ends.
+func (g *Gateway) Housekeep(ctx context.Context) {
+	const period, pruneEach = 500 * time.Millisecond, 8
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		g.tidy(time.Now())
+		if n%pruneEach == 0 {
+			g.pool.Prune(time.Now())
+		}
+	}
+}
+
+func (g *Gateway) tidy(now time.Time) {
+	size := g.fleet.Size()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, id := range g.catalog.Expire(now, nil) {
+		g.log.Info("target dropped", "target", id, "reason", "not-back-after-trouble")
+		g.pool.Drop(id)
+		g.board.Forget(id)
+	}
+	for _, w := range g.windows {
+		w.SetAllowance(g.bounds.RetryAllowance * budgetShare / float64(size))
+	}
+	g.board.Expire(now)
+	g.catalog.Each(func(k *catalog.Known) { g.pool.SetMost(k.ID, g.connections(k, size)) })
+	for id, at := range g.cold {
+		if now.Sub(at) > time.Minute {
+			delete(g.cold, id)
+		}
+	}
+}
+
+// connections returns how many connections this host may have to a target.
+func (g *Gateway) connections(k *catalog.Known, size int) int {
+	m := g.manifest.Load()
+	if m == nil {
+		return 1
+	}
+	s := m.Service(k.Service)
+	if s == nil || s.Connections <= 0 {
+		return 1
+	}
+	return max(1, int(connectionShare*float64(s.Connections))/size)
+}
+
+// window returns the retry budget of a service.
+func (g *Gateway) window(now time.Time, service string) *budget.Window {
+	w := g.windows[service]
+	if w == nil {
+		w = &budget.Window{}
+		b := g.bounds
+		w.Reset(now, time.Duration(windowMargin*float64(b.RetryWindow)), b.RetryFraction, b.RetryAllowance*budgetShare/float64(g.fleet.Size()))
+		g.windows[service] = w
+	}
+	return w
+}
--- /dev/null
+++ b/internal/serving/gateway/serve.go
@@ -0,0 +1,291 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fescuerill/internal/routing/manifest"
+	"fescuerill/internal/serving/copies"
+	"fescuerill/internal/serving/exchange"
+	"fescuerill/internal/serving/search"
+)
+
+var (
+	// errLeft ends the sends of a request whose caller has gone.
+	errLeft = errors.New("the caller has left")
+	// errStray ends the sends that nobody needs any more.
+	errStray = errors.New("the answer came too late")
+)
+
+// run is the state of one request under way.
+type run struct {
+	g        *Gateway
+	request  *Request
+	version  int64
+	route    *manifest.Route
+	chooser  chooser
+	search   search.Search
+	plan     search.Plan
+	usual    time.Duration
+	ask      exchange.Ask
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	ended    chan ended
+	replies  []exchange.Reply
+	last     *exchange.Reply
+	trail    []step
+	unusual  bool
+	deadline time.Time
+}
+
+// ended is the end of a send.
+type ended struct {
+	send  search.Send
+	reply exchange.Reply
+	took  time.Duration
+}
+
+// Serve answers a request. It returns early with Left when ctx ends, since the
+// caller has gone then.
+func (g *Gateway) Serve(ctx context.Context, q *Request) Answer {
+	m := g.manifest.Load()
+	if m == nil {
+		return g.refuse(q, nil, "no-manifest", startRetry)
+	}
+	route := m.Route(q.Host, q.Path)
+	if route == nil {
+		g.tally.Add("answers-unrouted", 1)
+		g.log.Info("request", "id", q.ID, "outcome", Unrouted.String(), "host", q.Host, "path", q.Path, "version", m.Version())
+		return Answer{Kind: Unrouted, Reason: "no-route"}
+	}
+	if g.running.Add(1) > requestsMost {
+		g.running.Add(-1)
+		return g.refuse(q, route, "host-full", retryLeast)
+	}
+	defer g.running.Add(-1)
+	r := g.newRun(q, m, route)
+	return r.serve(ctx)
+}
+
+func (g *Gateway) refuse(q *Request, route *manifest.Route, reason string, after time.Duration) Answer {
+	g.tally.Add("answers-refused", 1)
+	g.tally.Add("refused-"+reason, 1)
+	name := ""
+	if route != nil {
+		name = route.Name
+	}
+	g.log.Info("request", "id", q.ID, "route", name, "outcome", Refused.String(), "reason", reason, "retry-after-ms", after.Milliseconds())
+	return Answer{Kind: Refused, Reason: reason, RetryAfter: after}
+}
+
+func (g *Gateway) newRun(q *Request, m *manifest.Manifest, route *manifest.Route) *run {
+	r := &run{g: g, request: q, version: m.Version(), route: route}
+	r.chooser.g = g
+	r.plan = search.Plan{Parts: 1, Least: 1, Attempts: max(1, route.Attempts), Repeatable: route.Repeatable}
+	r.timing()
+	if route.Search() {
+		r.chooser.services = route.Shards
+		r.plan.Parts = len(route.Shards)
+		r.plan.Least = route.Least()
+		if route.Aim > 0 {
+			r.plan.Settle = q.Arrived.Add(max(route.Aim/2, route.Aim-settleMargin))
+		}
+	}
+	r.replies = make([]exchange.Reply, r.plan.Parts)
+	r.ended = make(chan ended, r.plan.Parts*(r.plan.Attempts+4))
+	r.ask = exchange.Ask{ID: q.ID, Method: q.Method, URI: q.URI, Host: q.Host, Header: q.Header, Body: q.Body}
+	r.ctx, r.cancel = context.WithCancelCause(context.Background())
+	return r
+}
+
+// timing sets when the request ends and when its parts are late.
+func (r *run) timing() {
+	patience := defaultPatience
+	if p := r.request.Patience; p > 0 {
+		patience = max(p/2, p-endMargin)
+	}
+	if t := r.route.Timeout; t > 0 {
+		patience = min(patience, t)
+	}
+	r.plan.End = r.request.Arrived.Add(patience)
+	r.deadline = r.plan.End
+	group := r.route.Name
+	r.usual = r.g.latencies.Quantile(group, 0.5)
+	late := r.g.latencies.Quantile(group, hedgeQuantile)
+	aim := r.route.Aim
+	if aim == 0 {
+		aim = patience / 4
+	}
+	if r.usual == 0 {
+		r.usual = time.Duration(usualShare * float64(aim))
+		late = aim
+	}
+	if !r.route.Repeatable {
+		return
+	}
+	latest := lookupHedge
+	if r.route.Search() {
+		latest = searchHedge
+	}
+	r.plan.Hedge = max(hedgeLeast, min(max(late, r.usual*3/2), time.Duration(latest*float64(aim))))
+}
+
+func (r *run) serve(ctx context.Context) Answer {
+	g := r.g
+	g.mu.Lock()
+	now := time.Now()
+	r.chooser.now = now
+	if !r.route.Search() {
+		r.chooser.services = []string{g.splitter.Pick(r.route)}
+	}
+	for _, s := range r.chooser.services {
+		g.window(now, s).First(now)
+	}
+	r.search.Reset(r.plan)
+	sends := r.search.Begin(now, &r.chooser, nil)
+	r.begin(now, sends)
+	verdict := r.search.Verdict(now)
+	next := r.search.Next(now)
+	g.mu.Unlock()
+	timer := time.NewTimer(time.Until(next))
+	defer timer.Stop()
+	for verdict == search.Wait {
+		select {
+		case e := <-r.ended:
+			verdict, next = r.took(e)
+		case <-timer.C:
+			verdict, next = r.tick()
+		case <-ctx.Done():
+			return r.left()
+		}
+		timer.Reset(time.Until(next))
+	}
+	a := r.answer(verdict)
+	r.finish(a)
+	return a
+}
+
+// begin starts sends. The gateway is locked.
+func (r *run) begin(now time.Time, sends []search.Send) {
+	for _, s := range sends {
+		k := r.g.catalog.Get(s.Target)
+		t := exchange.Target{ID: k.ID, Address: k.Address}
+		token := r.g.board.Begin(now, s.Target, r.usual)
+		if s.Reason != search.First {
+			r.unusual = true
+			r.g.tally.Add("sends-"+s.Reason.String(), 1)
+		}
+		go r.send(s, t, token)
+	}
+}
+
+func (r *run) send(s search.Send, t exchange.Target, token uint64) {
+	g := r.g
+	reply := g.pool.Do(r.ctx, t, &r.ask, func() time.Duration { return r.rest(s.Target) })
+	now := time.Now()
+	result := r.result(reply)
+	g.mu.Lock()
+	took := g.board.End(now, s.Target, token, result, r.usual)
+	g.mu.Unlock()
+	if reply.Outcome == search.Good {
+		g.latencies.Add(now, r.route.Name, took)
+	} else {
+		g.tally.Add("sends-ended-"+reply.Reason, 1)
+	}
+	r.ended <- ended{send: s, reply: reply, took: took}
+}
+
+// rest returns the time left for a send that is about to be written, or 0 if it
+// must no longer go to the target.
+func (r *run) rest(target string) time.Duration {
+	r.g.mu.Lock()
+	k := r.g.usable(target)
+	r.g.mu.Unlock()
+	if k == nil {
+		return 0
+	}
+	return time.Until(r.deadline)
+}
+
+// result returns what a reply says of the target.
+func (r *run) result(reply exchange.Reply) copies.Result {
+	switch reply.Outcome {
+	case search.Good:
+		return copies.Answered
+	case search.NotRun:
+		if reply.Moved {
+			return copies.Lost
+		}
+		return copies.Shed
+	case search.Failed:
+		return copies.Failed
+	}
+	if r.ctx.Err() != nil && !errors.Is(context.Cause(r.ctx), errStray) || reply.Local {
+		return copies.Abandoned
+	}
+	return copies.Lost
+}
+
+func (r *run) took(e ended) (search.Verdict, time.Time) {
+	g := r.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	r.chooser.now = now
+	outcome := r.judge(&e.reply)
+	sends, use := r.search.Ended(now, &r.chooser, e.send.Part, outcome, nil)
+	if use {
+		r.replies[e.send.Part] = e.reply
+	}
+	if outcome != search.Good {
+		r.unusual = true
+	}
+	r.note(e)
+	r.begin(now, sends)
+	return r.search.Verdict(now), r.search.Next(now)
+}
+
+// judge returns the outcome of a reply for the route. A target's own refusal of
+// what the caller asked is the answer to a request for one target.
+func (r *run) judge(reply *exchange.Reply) search.Outcome {
+	if reply.Outcome == search.Failed && !r.route.Search() && reply.Stamp != "" && reply.Status < http.StatusInternalServerError {
+		return search.Good
+	}
+	if reply.Outcome == search.Failed {
+		r.last = reply
+	}
+	return reply.Outcome
+}
+
+func (r *run) tick() (search.Verdict, time.Time) {
+	g := r.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	r.chooser.now = now
+	r.begin(now, r.search.Tick(now, &r.chooser, nil))
+	return r.search.Verdict(now), r.search.Next(now)
+}
+
+// left ends a request whose caller has gone.
+func (r *run) left() Answer {
+	time.AfterFunc(leftTime, func() { r.cancel(errLeft) })
+	r.g.tally.Add("answers-left", 1)
+	a := Answer{Kind: Left, Reason: "caller-left"}
+	r.write(a)
+	return a
+}
+
+// finish lets sends go on for a while that are still under way, so that their
+// connections can be kept.
+func (r *run) finish(a Answer) {
+	time.AfterFunc(strayTime, func() { r.cancel(errStray) })
+	r.g.tally.Add("answers-"+a.Kind.String(), 1)
+	r.g.tally.Sample("answer-us-"+a.Kind.String(), time.Since(r.request.Arrived).Microseconds())
+	if r.unusual || a.Kind != Served && (a.Kind != Merged || a.Missing > 0) {
+		r.write(a)
+	}
+}
--- /dev/null
+++ b/internal/serving/latency/doc.go
@@ -0,0 +1,2 @@
+// Package latency keeps recent latencies and tells their quantiles.
+package latency
--- /dev/null
+++ b/internal/serving/station/station.go
@@ -0,0 +1,306 @@
+package station
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fescuerill/host"
+	"fescuerill/internal/fleet/directory"
+	"fescuerill/internal/fleet/feed"
+	"fescuerill/internal/fleet/peers"
+	"fescuerill/internal/invariant"
+	"fescuerill/internal/serving/exchange"
+	"fescuerill/internal/serving/gateway"
+	"fescuerill/internal/tally"
+)
+
+const (
+	// memoryShare is the part of the memory that the runtime may use before it
+	// collects garbage at any cost.
+	memoryShare = 0.7
+	// collectAt is the growth of the heap, in per cent, at which garbage is
+	// collected.
+	collectAt = 400
+	// addressesMost is the number of hosts that an answer names at most.
+	addressesMost = 64
+	// answerValid is how long callers may keep the addresses of hosts.
+	answerValid = time.Second
+	// patienceFactor is how much longer some callers keep them.
+	patienceFactor = 3
+	// stopMargin is the time before the end of the grace by which everything is
+	// done.
+	stopMargin = 500 * time.Millisecond
+	// quietTime is how long no request comes before a leaving host ends early.
+	quietTime = time.Second
+	// stopStep is how often a leaving host looks whether it may end.
+	stopStep = 50 * time.Millisecond
+	// recordEach is how often the host looks after its record in the store.
+	recordEach = 4 * time.Second
+	// directoryTimeout bounds small requests about the host itself.
+	directoryTimeout = 2 * time.Second
+)
+
+// Platform is what the station needs of the platform beside requests.
+type Platform interface {
+	feed.Source
+	gateway.Decoder
+	exchange.Dialect
+	// Record keeps a record of this host in the store for a while longer.
+	Record(ctx context.Context, h peers.Host) error
+	// Hosts returns the hosts with a record.
+	Hosts(ctx context.Context) ([]peers.Host, error)
+	// Front, Ready and Directory return the handlers for callers' requests, for
+	// checks of readiness, and for questions for addresses.
+	Front(s *Station) http.Handler
+	Ready(s *Station) http.Handler
+	Directory(s *Station) http.Handler
+}
+
+// Station is a host at work. Start makes one. Its methods may be called from
+// several goroutines.
+type Station struct {
+	settings Settings
+	platform Platform
+	log      *slog.Logger
+	tally    *tally.Tally
+	gateway  *gateway.Gateway
+	peers    *peers.Peers
+	feed     feed.Feed
+	front    *http.Server
+	cancel   context.CancelFunc
+	stopping atomic.Bool
+	// asked is when the last request came, in nanoseconds since began.
+	asked atomic.Int64
+	began time.Time
+	done  sync.WaitGroup
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// Start starts all duties of a host.
+func Start(settings Settings, platform Platform, log *slog.Logger, t *tally.Tally) (*Station, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Station{
+		settings: settings, platform: platform, log: log, tally: t, cancel: cancel, began: time.Now(),
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+		debug.SetGCPercent(collectAt)
+	}
+	if err := s.start(ctx); err != nil {
+		cancel()
+		return nil, err
+	}
+	log.Info("started", "host", settings.Name, "data-centre", settings.DataCentre, "front", settings.Front, "peer", settings.Peer)
+	return s, nil
+}
+
+func (s *Station) start(ctx context.Context) error {
+	var lc net.ListenConfig
+	datagrams, err := lc.ListenPacket(ctx, "udp", s.settings.Peer)
+	if err != nil {
+		return errors.Wrap(err, "peer address")
+	}
+	calls, err := lc.Listen(ctx, "tcp", s.settings.Peer)
+	if err != nil {
+		return errors.Wrap(err, "peer address")
+	}
+	self := peers.Self{
+		Address: s.settings.Peer, DataCentre: s.settings.DataCentre,
+		Incarnation: strconv.FormatUint(rand.Uint64(), 36),
+	}
+	s.peers = peers.Start(ctx, self, datagrams, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), s.log, s.tally)
+	s.gateway = gateway.New(gateway.Options{
+		DataCentre: s.settings.DataCentre, Fleet: s.peers, Decoder: s.platform, Dialect: s.platform,
+		Dial: exchange.DialTCP, Bounds: s.settings.Bounds,
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: s.log, Tally: s.tally,
+	})
+	s.feed.Reset(s.platform, s.peers, s.gateway, s.log, s.tally)
+	s.done.Go(func() { s.peers.Serve(ctx, calls, &s.feed) })
+	s.peers.Greet(s.settings.Seeds)
+	s.done.Go(func() { s.feed.Run(ctx) })
+	s.done.Go(func() { s.gateway.Housekeep(ctx) })
+	s.done.Go(func() { s.keepRecord(ctx, self) })
+	return s.listen(ctx)
+}
+
+func (s *Station) listen(ctx context.Context) error {
+	s.front = &http.Server{
+		Handler:           s.platform.Front(s),
+		ReadHeaderTimeout: 10 * time.Second,
+		IdleTimeout:       time.Minute,
+		MaxHeaderBytes:    64 << 10,
+		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
+	}
+	if err := s.serve(ctx, s.front, s.settings.Front); err != nil {
+		return errors.Wrap(err, "front address")
+	}
+	small := map[string]http.Handler{
+		s.settings.Ready: s.platform.Ready(s), s.settings.Directory: s.platform.Directory(s), s.settings.Metrics: s.metrics(),
+	}
+	for address, handler := range small {
+		if address == "" {
+			continue
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: directoryTimeout, IdleTimeout: time.Minute}
+		if err := s.serve(ctx, server, address); err != nil {
+			return errors.Wrap(err, "address "+address)
+		}
+		context.AfterFunc(ctx, func() { _ = server.Close() })
+	}
+	return nil
+}
+
+func (s *Station) serve(ctx context.Context, server *http.Server, address string) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	s.done.Go(func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			s.log.Error("no longer listening", "address", address, "error", err)
+		}
+	})
+	return nil
+}
+
+// keepRecord keeps the host's record in the store and meets the hosts that have
+// one.
+func (s *Station) keepRecord(ctx context.Context, self peers.Self) {
+	record := peers.Host{Address: self.Address, DataCentre: self.DataCentre, Incarnation: self.Incarnation}
+	met := false
+	for ctx.Err() == nil {
+		wait := recordEach
+		if err := s.platform.Record(ctx, record); err != nil && ctx.Err() == nil {
+			s.tally.Add("record-failures", 1)
+			s.log.Debug("record not kept", "error", err)
+		}
+		if !met {
+			hosts, err := s.platform.Hosts(ctx)
+			met = err == nil
+			for _, h := range hosts {
+				s.peers.Met(h)
+			}
+			if !met {
+				wait = time.Second
+			}
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+		}
+	}
+}
+
+// Gateway returns what serves requests.
+func (s *Station) Gateway() *gateway.Gateway { return s.gateway }
+
+// Asked notes that a request came.
+func (s *Station) Asked() { s.asked.Store(int64(time.Since(s.began))) }
+
+// Stopping reports whether the host is leaving.
+func (s *Station) Stopping() bool { return s.stopping.Load() }
+
+// Ready reports whether the host takes callers.
+func (s *Station) Ready() bool { return !s.Stopping() && s.gateway.Ready() }
+
+// Addresses returns the front addresses for callers in a data centre and how
+// long they may be kept.
+func (s *Station) Addresses(dataCentre string) ([]string, time.Duration) {
+	_, port, err := net.SplitHostPort(s.settings.Front)
+	if err != nil {
+		return nil, 0
+	}
+	var hosts []directory.Host
+	if s.Ready() {
+		hosts = append(hosts, directory.Host{Address: s.settings.Front, DataCentre: s.settings.DataCentre})
+	}
+	s.peers.Each(func(h peers.Host) {
+		ip, _, err := net.SplitHostPort(h.Address)
+		if err == nil && h.State == host.Alive {
+			hosts = append(hosts, directory.Host{Address: net.JoinHostPort(ip, port), DataCentre: h.DataCentre})
+		}
+	})
+	coverage := map[string]float64{}
+	s.gateway.Coverage(func(dataCentre string, share float64) { coverage[dataCentre] = share })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	valid := answerValid
+	if s.settings.AnswerValid > 0 {
+		valid = min(valid, s.settings.AnswerValid)
+	}
+	return directory.Choose(nil, dataCentre, hosts, coverage, addressesMost, s.random), valid
+}
+
+// Reload takes settings that have changed. Addresses stay as they were.
+func (s *Station) Reload(settings Settings) {
+	s.gateway.SetBounds(settings.Bounds)
+	s.log.Info("settings reloaded", "host", settings.Name)
+}
+
+// Stop ends the host in order: callers are no longer told to use it, it serves
+// until those that were have other addresses, and finishes every request.
+func (s *Station) Stop(ctx context.Context) {
+	began := time.Now()
+	s.stopping.Store(true)
+	s.log.Info("stopping", "grace-ms", s.settings.Grace.Milliseconds(), "running", s.gateway.Running())
+	s.peers.Leave()
+	known := began.Add(patienceFactor*answerValid + quietTime/2)
+	end := began.Add(max(stopMargin, s.settings.Grace-stopMargin))
+	for now := time.Now(); now.Before(end) && ctx.Err() == nil; now = time.Now() {
+		quiet := now.Sub(s.began) - time.Duration(s.asked.Load())
+		if now.After(known) && s.gateway.Running() == 0 && quiet > quietTime {
+			break
+		}
+		time.Sleep(stopStep)
+	}
+	finish, cancel := context.WithDeadline(ctx, end.Add(stopMargin/2))
+	defer cancel()
+	err := s.front.Shutdown(finish)
+	s.log.Info("stopped", "took-ms", time.Since(began).Milliseconds(), "unfinished", s.gateway.Running(), "error", err)
+	s.cancel()
+}
+
+// metrics serves the counters as text.
+func (s *Station) metrics() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		now := time.Now()
+		revision, age, reached := s.feed.State(now)
+		live := 1
+		s.peers.Each(func(h peers.Host) {
+			if h.State == host.Alive {
+				live++
+			}
+		})
+		s.tally.Gauge("store-revision", int(revision))
+		s.tally.Gauge("store-age-ms", int(age.Milliseconds()))
+		s.tally.Gauge("store-reached", flag(reached))
+		s.tally.Gauge("hosts-live", live)
+		s.tally.Gauge("requests-running", s.gateway.Running())
+		s.tally.Gauge("invariant-violations", int(invariant.Violations()))
+		s.tally.Each(func(name string, value int64) { fmt.Fprintf(w, "%s %d\n", name, value) })
+	})
+}
+
+func flag(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/owner/assign.go
+++ b/owner/assign.go
@@ -119,3 +119,9 @@
 	x *= 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// Weight returns the weight of a host for something, by rendezvous hashing: the
+// host with the greatest is the first choice of all who know the same hosts.
+func Weight(something, host string) uint64 {
+	return mix(xxhash.Sum64String(something) ^ xxhash.Sum64String(host))
+}
--- a/settings/finding.go
+++ b/settings/finding.go
@@ -20,6 +20,12 @@
 	Line, Column int
 }
 
+// NewFinding returns what is wrong with a key of a file. The zero Place stands
+// for the whole file.
+func NewFinding(file string, place Place, key, message string) Finding {
+	return Finding{file: file, place: place, key: key, message: message}
+}
+
 // Key returns the dotted key that the finding is about.
 func (f Finding) Key() string { return f.key }
 
