--- a/internal/serving/gateway/bounds.go
+++ b/internal/serving/gateway/bounds.go
@@ -43,10 +43,10 @@
 	// windowMargin lengthens the budget window over the one that is bounded.
 	windowMargin = 1.1
 	// hedgeQuantile is the share of latencies after which a part is late.
-	hedgeQuantile = 0.95
+	hedgeQuantile = 0.97
 	// searchHedge and lookupHedge are the latest times of a hedge, as parts of
 	// the aim.
-	searchHedge = 0.25
+	searchHedge = 0.3
 	lookupHedge = 0.5
 	// usualShare is the usual latency as a part of the aim until it is known.
 	usualShare = 0.125
