Give parts only the time until the answer is due; leave out those that would be late

Cause: under slow copies parts went on running after the answer they belonged to, and filled the two slots of the good copies; one broken connection put a copy to rest, so that a shard whose copies lose answers had none.

Change: a part is given the time until the answer is sent, and more only below the floor; parts expected late are left out well above the floor; a part runs on no more targets than the route allows, counted by target; broken connections raise the cost of a copy instead of resting it; single slow answers count little.

--- a/internal/serving/copies/board.go
+++ b/internal/serving/copies/board.go
@@ -62,6 +62,13 @@
 // Forget drops the memory of a copy.
 func (b *Board) Forget(id string) { delete(b.copies, id) }
 
+// Expected returns how long an answer of a candidate is likely to take, if one
+// usually takes the given time.
+func (b *Board) Expected(now time.Time, a Candidate, usual time.Duration) time.Duration {
+	c := b.Copy(a.ID)
+	return time.Duration(float64(usual) * c.Pace(now) * (1 + float64(len(c.underWay))/float64(max(1, a.Slots))))
+}
+
 // Choose returns the index of the candidate to ask, or -1 if each of them is
 // better left alone.
 func (b *Board) Choose(now time.Time, candidates []Candidate, random *rand.Rand) int {
--- a/internal/serving/copies/copy.go
+++ b/internal/serving/copies/copy.go
@@ -21,6 +21,10 @@
 	restMost  = 2 * time.Second
 	// shedRest is how long a copy that refused for want of room is left alone.
 	shedRest = 40 * time.Millisecond
+	// slowPace is the pace from which an answer is slow.
+	slowPace = 3.0
+	// sameCause is the time within which slow answers have one cause.
+	sameCause = 20 * time.Millisecond
 	// paceMost bounds the memory of a slow copy.
 	paceMost = 30.0
 )
@@ -34,10 +38,12 @@
 	Answered Result = iota
 	// Shed is a refusal for want of room; the request did not run.
 	Shed
-	// Failed is an answer that is a failure, or that is damaged.
+	// Failed is an answer that is a failure, or that is damaged or cut off.
 	Failed
-	// Lost is no answer: the connection broke or could not be opened, or the
-	// copy kept silent.
+	// Slow is an answer that did not come within the time it was given.
+	Slow
+	// Lost is no answer: no connection could be opened, or the copy kept
+	// silent.
 	Lost
 	// Abandoned says nothing of the copy.
 	Abandoned
@@ -47,6 +53,7 @@
 type Copy struct {
 	pace     float64
 	paceAt   time.Time
+	slow     bool
 	failures float64
 	failedAt time.Time
 	rest     time.Duration
@@ -144,6 +151,10 @@
 	case Failed:
 		c.failures = c.Failures(now)*(1-failureGain) + failureGain
 		c.failedAt = now
+		c.rest = 0
+	case Slow:
+		c.learn(now, max(c.Pace(now), float64(took)/float64(max(usual, time.Millisecond))))
+		c.rest = 0
 	case Lost:
 		c.failures = c.Failures(now)*(1-failureGain) + failureGain
 		c.failedAt = now
@@ -156,9 +167,21 @@
 	return took
 }
 
+// learn takes how many times longer than usual an answer took. One slow answer
+// may be due to a short pause, as may those that come right after it, so they
+// count little until another follows.
 func (c *Copy) learn(now time.Time, pace float64) {
-	c.pace = min(paceMost, c.Pace(now)*(1-paceGain)+pace*paceGain)
+	slow := pace > slowPace
+	if slow && c.slow && now.Sub(c.paceAt) < sameCause {
+		return
+	}
+	taken := pace
+	if slow && !c.slow {
+		taken = slowPace
+	}
+	c.pace = min(paceMost, c.Pace(now)*(1-paceGain)+taken*paceGain)
 	c.paceAt = now
+	c.slow = slow
 }
 
 func (c *Copy) restFor(now time.Time, least, most time.Duration) {
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -52,6 +52,8 @@
 	// Local says that the send failed on this host and tells nothing of the
 	// target.
 	Local bool
+	// Silent says that the target did not answer in time.
+	Silent bool
 	// Err is what went wrong with the connection.
 	Err error
 }
@@ -73,6 +75,7 @@
 	reasonConnect      = "connect-timeout"
 	reasonWrite        = "write-failed"
 	reasonBroken       = "connection-broken"
+	reasonSilent       = "silent"
 	reasonFormat       = "bad-format"
 	reasonTruncated    = "truncated"
 	reasonCancelled    = "cancelled"
--- a/internal/serving/exchange/pool.go
+++ b/internal/serving/exchange/pool.go
@@ -22,7 +22,7 @@
 	silentTimeout = 1500 * time.Millisecond
 	// overtime is how much longer than its time limit a target may take to
 	// answer.
-	overtime = 200 * time.Millisecond
+	overtime = 350 * time.Millisecond
 )
 
 // Dial opens a connection to an IP address and port.
@@ -265,7 +265,8 @@
 	}
 	response, body, err := c.read(a, p.dialect)
 	if err != nil {
-		return Reply{Outcome: search.Unknown, Reason: reasonOf(err), Err: err}
+		reason := reasonOf(err)
+		return Reply{Outcome: search.Unknown, Reason: reason, Silent: reason == reasonSilent, Err: err}
 	}
 	c.keep(response.Header)
 	r := Reply{Status: response.StatusCode, Header: response.Header, Body: body}
@@ -282,7 +283,9 @@
 		return reasonCrossed
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		return reasonTruncated
-	case errors.Is(err, io.EOF), errors.Is(err, syscall.ECONNRESET), errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &n):
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return reasonSilent
+	case errors.Is(err, io.EOF), errors.Is(err, syscall.ECONNRESET), errors.As(err, &n):
 		return reasonBroken
 	}
 	return reasonFormat
--- a/internal/serving/gateway/answer.go
+++ b/internal/serving/gateway/answer.go
@@ -107,20 +107,23 @@
 		fmt.Fprintf(&trail, "%d/%d:%s:%s:%s:%dms ", s.part, s.number, s.target, s.why, s.reason, s.took.Milliseconds())
 	}
 	if a.Kind != Served {
-		r.search.Missing(func(part int, _ search.Outcome, tried []string) {
-			fmt.Fprintf(&missing, "%d:%s:%s ", part, r.chooser.services[part], r.whyMissing(part, tried))
+		r.search.Missing(func(part int, late bool, tried []string) {
+			fmt.Fprintf(&missing, "%d:%s:%s ", part, r.chooser.services[part], r.whyMissing(part, late, tried))
 		})
 	}
 	r.g.log.Info("request", "id", r.request.ID, "route", r.route.Name, "version", r.version, "outcome", a.Kind.String(),
 		"reason", a.Reason, "status", a.Status, "took-ms", time.Since(r.request.Arrived).Milliseconds(),
 		"covered", r.search.Covered(), "least", r.plan.Least, "parts", r.plan.Parts,
-		"hedge-ms", r.plan.Hedge.Milliseconds(), "usual-ms", r.usual.Milliseconds(),
+		"hedge-ms", r.plan.Hedge.Milliseconds(), "usual-ms", r.usual.Milliseconds(), "aim-ms", r.route.Aim.Milliseconds(), "over-budget", r.chooser.refused,
 		"missing", strings.TrimSpace(missing.String()), "sends", strings.TrimSpace(trail.String()))
 }
 
 // whyMissing says why a part is not in: the targets it was sent to, or what kept
 // each target of the service from being asked.
-func (r *run) whyMissing(part int, tried []string) string {
+func (r *run) whyMissing(part int, late bool, tried []string) string {
+	if late {
+		return "left-out-as-late"
+	}
 	if len(tried) > 0 {
 		return "unanswered-by=" + strings.Join(tried, ",")
 	}
--- a/internal/serving/gateway/choose.go
+++ b/internal/serving/gateway/choose.go
@@ -6,6 +6,7 @@
 
 	"fescuerill/internal/routing/catalog"
 	"fescuerill/internal/serving/copies"
+	"fescuerill/internal/serving/search"
 )
 
 // chooser picks targets for the parts of one request. Its methods are called
@@ -14,16 +15,41 @@
 	g        *Gateway
 	now      time.Time
 	services []string
+	// usual is the usual latency of a part, and settle when parts are late; zero
+	// if they never are.
+	usual  time.Duration
+	settle time.Time
+	// refused counts the extra sends that the budget did not allow.
+	refused int
 }
 
 // Choose implements search.Chooser.
-func (c *chooser) Choose(part int, tried []string, again bool) (string, bool) {
+func (c *chooser) Choose(part int, tried []string, from search.Pool) (search.Choice, bool) {
+	candidates := c.candidates(part)
+	var first, second []copies.Candidate
+	for _, a := range candidates {
+		if slices.Contains(tried, a.ID) {
+			second = append(second, a)
+		} else {
+			first = append(first, a)
+		}
+	}
+	if from != search.Tried {
+		if choice, ok := c.pick(first); ok || from == search.Fresh {
+			return choice, ok
+		}
+	}
+	return c.pick(second)
+}
+
+// candidates returns the targets that may be asked for a part.
+func (c *chooser) candidates(part int) []copies.Candidate {
 	g := c.g
 	known := g.catalog.Service(c.services[part])
 	candidates := make([]copies.Candidate, 0, len(known))
 	warm := false
 	for _, k := range known {
-		if !g.catalog.Usable(k) || !again && slices.Contains(tried, k.ID) {
+		if !g.catalog.Usable(k) {
 			continue
 		}
 		cold := c.now.Before(k.ColdUntil)
@@ -32,30 +58,20 @@
 			ID: k.ID, Slots: k.Slots, Near: k.DataCentre == g.dataCentre, Full: g.pool.Full(k.ID), Cold: cold,
 		})
 	}
-	candidates = c.admit(candidates, warm)
-	if fresh := without(candidates, tried); len(fresh) > 0 {
-		if i := g.board.Choose(c.now, fresh, g.random); i >= 0 {
-			return c.take(fresh[i])
-		}
-	}
-	i := g.board.Choose(c.now, candidates, g.random)
-	if i < 0 {
-		return "", false
-	}
-	return c.take(candidates[i])
+	return c.admit(candidates, warm)
 }
 
-func without(candidates []copies.Candidate, tried []string) []copies.Candidate {
-	if len(tried) == 0 {
-		return candidates
+func (c *chooser) pick(candidates []copies.Candidate) (search.Choice, bool) {
+	i := c.g.board.Choose(c.now, candidates, c.g.random)
+	if i < 0 {
+		return search.Choice{}, false
 	}
-	var fresh []copies.Candidate
-	for _, a := range candidates {
-		if !slices.Contains(tried, a.ID) {
-			fresh = append(fresh, a)
-		}
+	a := candidates[i]
+	if a.Cold {
+		c.g.cold[a.ID] = c.now
 	}
-	return fresh
+	late := !c.settle.IsZero() && c.now.Add(c.g.board.Expected(c.now, a, c.usual)).After(c.settle)
+	return search.Choice{Target: a.ID, Late: late}, true
 }
 
 // admit leaves out cold targets while a warm one can be asked, and those that
@@ -66,13 +82,6 @@
 	})
 }
 
-func (c *chooser) take(a copies.Candidate) (string, bool) {
-	if a.Cold {
-		c.g.cold[a.ID] = c.now
-	}
-	return a.ID, true
-}
-
 // mayWarm reports whether this host may send a request to a cold target now.
 // Each second as many hosts as the target bears requests may send it one: those
 // that come first for it among the live hosts, so that hosts which see a
@@ -105,6 +114,7 @@
 func (c *chooser) Extra(part int) bool {
 	ok := c.g.window(c.now, c.services[part]).Spend(c.now)
 	if !ok {
+		c.refused++
 		c.g.tally.Add("extra-refused-budget", 1)
 	}
 	return ok
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -22,23 +22,22 @@
 
 // run is the state of one request under way.
 type run struct {
-	g        *Gateway
-	request  *Request
-	version  int64
-	route    *manifest.Route
-	chooser  chooser
-	search   search.Search
-	plan     search.Plan
-	usual    time.Duration
-	ask      exchange.Ask
-	ctx      context.Context
-	cancel   context.CancelCauseFunc
-	ended    chan ended
-	replies  []exchange.Reply
-	last     *exchange.Reply
-	trail    []step
-	unusual  bool
-	deadline time.Time
+	g       *Gateway
+	request *Request
+	version int64
+	route   *manifest.Route
+	chooser chooser
+	search  search.Search
+	plan    search.Plan
+	usual   time.Duration
+	ask     exchange.Ask
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	ended   chan ended
+	replies []exchange.Reply
+	last    *exchange.Reply
+	trail   []step
+	unusual bool
 }
 
 // ended is the end of a send.
@@ -94,6 +93,7 @@
 			r.plan.Settle = q.Arrived.Add(max(route.Aim/2, route.Aim-settleMargin))
 		}
 	}
+	r.chooser.usual, r.chooser.settle = r.usual, r.plan.Settle
 	r.replies = make([]exchange.Reply, r.plan.Parts)
 	r.ended = make(chan ended, r.plan.Parts*(r.plan.Attempts+4))
 	r.ask = exchange.Ask{ID: q.ID, Method: q.Method, URI: q.URI, Host: q.Host, Header: q.Header, Body: q.Body}
@@ -111,7 +111,6 @@
 		patience = min(patience, t)
 	}
 	r.plan.End = r.request.Arrived.Add(patience)
-	r.deadline = r.plan.End
 	group := r.route.Name
 	r.usual = r.g.latencies.Quantile(group, 0.5)
 	late := r.g.latencies.Quantile(group, hedgeQuantile)
@@ -186,7 +185,7 @@
 	g := r.g
 	reply := g.pool.Do(r.ctx, t, &r.ask, func() time.Duration { return r.rest(s.Target) })
 	now := time.Now()
-	result := r.result(reply)
+	result := r.result(reply, now)
 	g.mu.Lock()
 	took := g.board.End(now, s.Target, token, result, r.usual)
 	g.mu.Unlock()
@@ -199,7 +198,9 @@
 }
 
 // rest returns the time left for a send that is about to be written, or 0 if it
-// must no longer go to the target.
+// must no longer go to the target. A part is given the time until the answer is
+// to be sent, so that a busy target does no work that comes too late; only when
+// that has passed with too few parts, it is given all the time there is.
 func (r *run) rest(target string) time.Duration {
 	r.g.mu.Lock()
 	k := r.g.usable(target)
@@ -207,11 +208,15 @@
 	if k == nil {
 		return 0
 	}
-	return time.Until(r.deadline)
+	now := time.Now()
+	if !r.plan.Settle.IsZero() && now.Add(leastTime).Before(r.plan.Settle) {
+		return r.plan.Settle.Sub(now)
+	}
+	return r.plan.End.Sub(now)
 }
 
 // result returns what a reply says of the target.
-func (r *run) result(reply exchange.Reply) copies.Result {
+func (r *run) result(reply exchange.Reply, now time.Time) copies.Result {
 	switch reply.Outcome {
 	case search.Good:
 		return copies.Answered
@@ -221,7 +226,14 @@
 		}
 		return copies.Shed
 	case search.Failed:
+		if reply.Stamp != "" && reply.Status == http.StatusGatewayTimeout && !now.Before(r.plan.Settle) {
+			return copies.Slow
+		}
 		return copies.Failed
+	case search.Unknown:
+		if r.ctx.Err() == nil && !reply.Silent {
+			return copies.Failed
+		}
 	}
 	if r.ctx.Err() != nil && !errors.Is(context.Cause(r.ctx), errStray) || reply.Local {
 		return copies.Abandoned
@@ -236,7 +248,7 @@
 	now := time.Now()
 	r.chooser.now = now
 	outcome := r.judge(&e.reply)
-	sends, use := r.search.Ended(now, &r.chooser, e.send.Part, outcome, nil)
+	sends, use := r.search.Ended(now, &r.chooser, e.send, outcome, nil)
 	if use {
 		r.replies[e.send.Part] = e.reply
 	}
--- /dev/null
+++ b/internal/serving/search/merge_test.go
@@ -0,0 +1,68 @@
+package search_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"fescuerill/internal/serving/search"
+)
+
+func record(b byte) []byte { return bytes.Repeat([]byte{b}, search.RecordBytes) }
+
+func TestMergeTakesTheGreatestRecords(t *testing.T) {
+	a := slices.Concat(record(3), record(9), []byte("rest"))
+	b := slices.Concat(record(9), record(1))
+	got := search.Merge(nil, [][]byte{a, nil, b}, 3)
+	assert.Equal(t, slices.Concat(record(9), record(9), record(3)), got)
+	assert.Empty(t, search.Merge(nil, nil, 3))
+}
+
+func TestMergeAgreesWithSortingEverything(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		var parts, all [][]byte
+		for range r.IntN(6) {
+			var p []byte
+			for range r.IntN(9) {
+				one := make([]byte, search.RecordBytes)
+				for i := range one {
+					one[i] = byte(r.IntN(3))
+				}
+				p = append(p, one...)
+				all = append(all, one)
+			}
+			parts = append(parts, append(p, make([]byte, r.IntN(search.RecordBytes))...))
+		}
+		slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+		top := r.IntN(12)
+		want := bytes.Join(all[:min(top, len(all))], nil)
+		assert.Equal(t, string(want), string(search.Merge(nil, parts, top)))
+	}
+}
+
+func ExampleMerge() {
+	parts := [][]byte{[]byte("record-number-01record-number-03"), []byte("record-number-02")}
+	fmt.Println(string(search.Merge(nil, parts, 2)))
+	// Output: record-number-03record-number-02
+}
+
+func BenchmarkMerge(b *testing.B) {
+	var parts [][]byte
+	for i := range 90 {
+		var p []byte
+		for j := range 25 {
+			p = append(p, record(byte(i*j))...)
+		}
+		parts = append(parts, p)
+	}
+	dst := make([]byte, 0, 20*search.RecordBytes)
+	b.ReportAllocs()
+	for b.Loop() {
+		dst = search.Merge(dst[:0], parts, 20)
+	}
+}
--- a/internal/serving/search/search.go
+++ b/internal/serving/search/search.go
@@ -1,6 +1,7 @@
 package search
 
 import (
+	"slices"
 	"time"
 
 	"fescuerill/internal/invariant"
@@ -57,11 +58,30 @@
 	End time.Time
 }
 
-// Chooser picks a copy for a part. The copies that the part was sent to are to
-// be avoided; a copy in tried is only picked when no other can be. It reports
-// false if no copy can be asked now.
+// Pool says which copies may be picked for a part.
+type Pool int
+
+// Pools of copies.
+const (
+	// Any is all copies; those that the part was sent to come last.
+	Any Pool = iota
+	// Fresh is the copies that the part was not sent to.
+	Fresh
+	// Tried is the copies that the part was sent to.
+	Tried
+)
+
+// Choice is a copy picked for a part.
+type Choice struct {
+	Target string
+	// Late says that its answer is not to be expected before Settle.
+	Late bool
+}
+
+// Chooser picks copies for parts.
 type Chooser interface {
-	Choose(part int, tried []string, again bool) (string, bool)
+	// Choose picks a copy. It reports false if none can be asked now.
+	Choose(part int, tried []string, from Pool) (Choice, bool)
 	// Extra takes an extra send of the part out of the budget and reports
 	// whether there was one.
 	Extra(part int) bool
@@ -92,10 +112,11 @@
 func (r Reason) String() string { return reasonNames[r] }
 
 type part struct {
-	state   state
-	tried   []string
+	state state
+	tried []string
+	// ran holds the targets on which the part has run or may run.
+	ran     []string
 	open    int
-	runs    int
 	spare   int
 	number  int
 	hedge   time.Time
@@ -103,7 +124,9 @@
 	pause   time.Duration
 	hedged  bool
 	arrived bool
-	last    Outcome
+	// late says that the part was left out since its answer would be late.
+	late bool
+	last Outcome
 }
 
 type state int
@@ -128,28 +151,33 @@
 	*s = Search{plan: p, parts: make([]part, p.Parts)}
 }
 
-// Begin appends to dst the first send of each part.
+// Begin appends to dst the first send of each part. Parts whose answers are not
+// to be expected in time are left out, so that they do not keep busy copies from
+// answering others, as far as the answer stays well above its floor.
 func (s *Search) Begin(now time.Time, c Chooser, dst []Send) []Send {
+	spare := (len(s.parts) - s.plan.Least + 1) / 2
 	for i := range s.parts {
-		dst = s.first(now, c, i, dst)
+		p := &s.parts[i]
+		choice, ok := c.Choose(i, nil, Any)
+		switch {
+		case !ok:
+			p.state = idle
+			p.again = now.Add(againAfter)
+		case choice.Late && spare > 0 && s.plan.Repeatable:
+			spare--
+			p.state = given
+			p.late = true
+		default:
+			p.state = waiting
+			dst = append(dst, s.send(now, i, choice.Target, First))
+		}
 	}
 	return dst
 }
 
-func (s *Search) first(now time.Time, c Chooser, i int, dst []Send) []Send {
-	p := &s.parts[i]
-	id, ok := c.Choose(i, nil, false)
-	if !ok {
-		p.state = idle
-		p.again = now.Add(againAfter)
-		return dst
-	}
-	p.state = waiting
-	return append(dst, s.send(now, i, id, First))
-}
-
 func (s *Search) send(now time.Time, i int, id string, why Reason) Send {
 	p := &s.parts[i]
+	invariant.Check(s.plan.Repeatable || p.open == 0 && len(p.ran) == 0, "at-most-once", "part", i)
 	p.tried = append(p.tried, id)
 	p.open++
 	p.number++
@@ -157,55 +185,46 @@
 	if s.plan.Hedge > 0 {
 		p.hedge = now.Add(s.plan.Hedge)
 	}
-	invariant.Check(s.plan.Repeatable || !s.mayRun(p), "at-most-once", "part", i)
 	return Send{Part: i, Number: p.number, Target: id, Reason: why}
 }
 
-// mayRun reports whether a send of the part, other than one just opened, has
-// run or may run.
-func (s *Search) mayRun(p *part) bool { return p.runs > 0 || p.open > 1 }
-
 // Ended takes the outcome of a send and appends to dst what to send next. It
 // reports whether the answer is to be used.
-func (s *Search) Ended(now time.Time, c Chooser, i int, o Outcome, dst []Send) ([]Send, bool) {
-	p := &s.parts[i]
+func (s *Search) Ended(now time.Time, c Chooser, sent Send, o Outcome, dst []Send) ([]Send, bool) {
+	p := &s.parts[sent.Part]
 	p.open--
-	if o != NotSent {
-		p.arrived = true
-	}
+	p.arrived = p.arrived || o != NotSent
 	if p.state == good {
 		return dst, false
 	}
 	p.last = o
 	if o.Ran() {
-		p.runs++
 		s.ran = true
+		if !slices.Contains(p.ran, sent.Target) {
+			p.ran = append(p.ran, sent.Target)
+		}
 	}
 	if o == Good {
 		p.state = good
 		s.good++
 		return dst, true
 	}
-	if !o.Ran() {
-		p.spare++
-	}
-	return s.retry(now, c, i, o, dst), o == Failed
+	return s.retry(now, c, sent.Part, dst), o == Failed
 }
 
-// retry sends a part again after a send without a good answer, at once if
-// another copy can be asked, later if there was no room.
-func (s *Search) retry(now time.Time, c Chooser, i int, o Outcome, dst []Send) []Send {
+// retry sends a part again after a send without a good answer: at once the first
+// time, later when that did not help.
+func (s *Search) retry(now time.Time, c Chooser, i int, dst []Send) []Send {
 	p := &s.parts[i]
-	if p.open > 0 && s.plan.Repeatable {
-		// Another copy is at work; the hedge that it may still get follows in
-		// Tick.
+	p.spare++
+	switch {
+	case p.open > 0:
+		// Another copy is at work.
 		return dst
-	}
-	if !s.mayAgain(p) {
+	case !s.mayAgain(p):
 		p.state = given
 		return dst
-	}
-	if o == NotRun && p.spare > 1 {
+	case p.spare > 1:
 		p.pause = min(againMost, max(againAfter, 2*p.pause))
 		p.again = now.Add(p.pause)
 		return dst
@@ -215,16 +234,29 @@
 
 // mayAgain reports whether the part may be sent once more.
 func (s *Search) mayAgain(p *part) bool {
-	if !s.plan.Repeatable && p.runs > 0 {
+	if !s.plan.Repeatable && len(p.ran) > 0 {
 		return false
 	}
-	return p.runs+p.open < s.plan.Attempts && p.spare <= spareSends
+	return p.number < s.plan.Attempts+spareSends
+}
+
+// choose picks a copy for another send. Once the part has run on as many targets
+// as it may, only those can be picked.
+func (s *Search) choose(c Chooser, i int, why Reason) (Choice, bool) {
+	p := &s.parts[i]
+	switch {
+	case why == Hedge:
+		return c.Choose(i, p.tried, Fresh)
+	case len(p.ran) >= s.plan.Attempts:
+		return c.Choose(i, p.ran, Tried)
+	}
+	return c.Choose(i, p.tried, Any)
 }
 
 func (s *Search) resend(now time.Time, c Chooser, i int, why Reason, dst []Send) []Send {
 	p := &s.parts[i]
-	id, ok := c.Choose(i, p.tried, why == Retry)
-	if !ok {
+	choice, ok := s.choose(c, i, why)
+	if !ok || why == Hedge && choice.Late && now.Before(s.plan.Settle) {
 		if p.open == 0 {
 			p.state = idle
 			p.again = now.Add(againAfter)
@@ -232,11 +264,13 @@
 		return dst
 	}
 	if (p.arrived || p.open > 0) && !c.Extra(i) {
-		p.again = now.Add(againMost)
+		if p.open == 0 {
+			p.again = now.Add(againMost)
+		}
 		return dst
 	}
 	p.state = waiting
-	return append(dst, s.send(now, i, id, why))
+	return append(dst, s.send(now, i, choice.Target, why))
 }
 
 // Tick appends to dst what to send now that time has passed.
@@ -247,10 +281,8 @@
 		case p.state == good || p.state == given:
 		case !p.again.IsZero() && !now.Before(p.again):
 			p.again = time.Time{}
-			if p.number == 0 {
-				dst = s.first(now, c, i, dst)
-			} else if p.open == 0 {
-				dst = s.resend(now, c, i, Retry, dst)
+			if p.open == 0 {
+				dst = s.resend(now, c, i, s.reason(p), dst)
 			}
 		case s.mayHedge(p) && !now.Before(p.hedge):
 			p.hedged = true
@@ -260,8 +292,15 @@
 	return dst
 }
 
+func (s *Search) reason(p *part) Reason {
+	if p.number == 0 {
+		return First
+	}
+	return Retry
+}
+
 func (s *Search) mayHedge(p *part) bool {
-	return s.plan.Hedge > 0 && s.plan.Repeatable && !p.hedged && p.open == 1 && s.mayAgain(p)
+	return s.plan.Hedge > 0 && s.plan.Repeatable && !p.hedged && p.open == 1 && len(p.ran)+p.open < s.plan.Attempts
 }
 
 // Next returns when Tick is to be called again.
@@ -354,10 +393,10 @@
 func (s *Search) Covered() int { return s.good }
 
 // Missing calls f for each part that is not in.
-func (s *Search) Missing(f func(part int, last Outcome, tried []string)) {
+func (s *Search) Missing(f func(part int, late bool, tried []string)) {
 	for i := range s.parts {
 		if p := &s.parts[i]; p.state != good {
-			f(i, p.last, p.tried)
+			f(i, p.late, p.tried)
 		}
 	}
 }
