Size the fleet carefully after a start; answer at the end when enough parts are in

Cause: after power came back each host thought itself alone, opened all of a target's connections and took the whole retry allowance; targets reset what went over their cap. A search whose time ended before its aim expired with enough parts in.

Change: twelve hosts are assumed until the records are read; half of the allowance is used and a window begins with 0.6 of its part; spare idle connections are closed after 2 s; the earlier of aim and end settles.

--- a/budget/window.go
+++ b/budget/window.go
@@ -5,14 +5,17 @@
 // windowSlots is the number of steps in which a Window moves on.
 const windowSlots = 20
 
+// startShare is the part of its allowance with which a window begins.
+const startShare = 0.6
+
 // Window bounds the extra requests in any span of a given length to a fraction
 // of the first requests plus a fixed allowance. Reset it before use. It is not
 // safe for use by several goroutines.
 //
 // Each host keeps a window of its own. The sum over all hosts stays within the
 // bound for all, since the fractions add up and the allowance is divided. A
-// window begins without its allowance and earns it over the span, so that a host
-// that restarts does not spend it twice.
+// window begins with a part of its allowance and earns the rest over the span, so
+// that a host that restarts does not spend all of it twice.
 type Window struct {
 	fraction  float64
 	allowance float64
@@ -43,7 +46,7 @@
 // Left returns the number of extra requests that may be sent now.
 func (w *Window) Left(now time.Time) int {
 	w.move(now)
-	earned := min(1, float64(w.at)/windowSlots)
+	earned := min(1, startShare+(1-startShare)*float64(w.at)/windowSlots)
 	return int(w.fraction*float64(w.firstSum)+earned*w.allowance) - w.extraSum
 }
 
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -26,6 +26,10 @@
 	// countAfter is how long a host that is gone still counts in the size of
 	// the fleet, since what it sent may still be at work.
 	countAfter = 15 * time.Second
+	// firstSize is the size of the fleet that is assumed until it is known, for
+	// at most firstTime.
+	firstSize = 12
+	firstTime = 3 * time.Second
 )
 
 // Host is what is known of another host.
@@ -58,6 +62,8 @@
 	centres map[string]string
 	greeted map[string]time.Time
 	gone    map[string]time.Time
+	began   time.Time
+	listed  bool
 	number  int
 	pending map[int]probe
 }
@@ -74,6 +80,7 @@
 	p := &Peers{
 		self: self, conn: conn, log: log, tally: t,
 		centres: map[string]string{}, greeted: map[string]time.Time{}, gone: map[string]time.Time{}, pending: map[int]probe{},
+		began: time.Now(),
 	}
 	p.members.Reset(time.Now(), self.Address, self.Incarnation, random)
 	go p.receive()
@@ -159,9 +166,19 @@
 		}
 		n++
 	}
+	if !p.listed && now.Sub(p.began) < firstTime {
+		n = max(n, firstSize)
+	}
 	return n
 }
 
+// Listed takes that all hosts with a record in the store have been met.
+func (p *Peers) Listed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listed = true
+}
+
 func (p *Peers) tick(ctx context.Context) {
 	for ctx.Err() == nil {
 		p.mu.Lock()
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -72,6 +72,7 @@
 const (
 	reasonNoConnection = "no-connection"
 	reasonRefused      = "connect-refused"
+	reasonReset        = "connect-reset"
 	reasonConnect      = "connect-timeout"
 	reasonWrite        = "write-failed"
 	reasonBroken       = "connection-broken"
--- a/internal/serving/exchange/pool.go
+++ b/internal/serving/exchange/pool.go
@@ -20,6 +20,9 @@
 	dialTimeout = 700 * time.Millisecond
 	// silentTimeout ends a connection whose peer acknowledges nothing.
 	silentTimeout = 1500 * time.Millisecond
+	// spareIdle is how long more than one idle connection to a target is kept: a
+	// target may count those of a host that lost its power for long.
+	spareIdle = 2 * time.Second
 	// overtime is how much longer than its time limit a target may take to
 	// answer.
 	overtime = 350 * time.Millisecond
@@ -120,8 +123,8 @@
 	defer p.mu.Unlock()
 	for _, l := range p.lanes {
 		kept := l.idle[:0]
-		for _, c := range l.idle {
-			if c.sound(now) {
+		for i, c := range l.idle {
+			if c.sound(now) && (i == len(l.idle)-1 || now.Sub(c.used) < spareIdle) {
 				kept = append(kept, c)
 				continue
 			}
@@ -224,7 +227,9 @@
 	r := Reply{Outcome: search.NotSent, Reason: reasonConnect, Err: err}
 	switch {
 	case ctx.Err() != nil:
-		r.Reason = reasonCancelled
+		r.Reason, r.Local = reasonCancelled, true
+	case errors.Is(err, syscall.ECONNRESET):
+		r.Reason = reasonReset
 	case errors.Is(err, syscall.ECONNREFUSED):
 		r.Reason = reasonRefused
 	}
--- a/internal/serving/gateway/bounds.go
+++ b/internal/serving/gateway/bounds.go
@@ -40,8 +40,9 @@
 	requestsMost = 512
 	// connectionShare is the part of a target's connections that the hosts use.
 	connectionShare = 0.9
-	// budgetShare is the part of the retry allowance that the hosts use.
-	budgetShare = 0.85
+	// budgetShare is the part of the retry allowance that the hosts use, so that
+	// they stay within it when all of them restart.
+	budgetShare = 0.5
 	// windowMargin lengthens the budget window over the one that is bounded.
 	windowMargin = 1.1
 	// hedgeQuantile is the share of latencies after which a part is late.
--- a/internal/serving/search/search.go
+++ b/internal/serving/search/search.go
@@ -375,9 +375,9 @@
 }
 
 func (s *Search) settled(now time.Time) bool {
-	settle := s.plan.Settle
-	if settle.IsZero() {
-		settle = s.plan.End
+	settle := s.plan.End
+	if !s.plan.Settle.IsZero() {
+		settle = earlier(settle, s.plan.Settle)
 	}
 	return !now.Before(settle)
 }
--- a/internal/serving/search/search_test.go
+++ b/internal/serving/search/search_test.go
@@ -76,6 +76,18 @@
 	assert.Equal(t, search.Answer, s.Verdict(at(510)))
 }
 
+func TestAnswersWithEnoughPartsWhenTheTimeEndsBeforeTheAim(t *testing.T) {
+	var s search.Search
+	f := &fleet{copies: []string{"a", "b"}, budget: 10}
+	p := plan()
+	p.End = at(60)
+	s.Reset(p)
+	for _, one := range s.Begin(at(0), f, nil)[:3] {
+		s.Ended(at(5), f, one, search.Good, nil)
+	}
+	assert.Equal(t, search.Answer, s.Verdict(at(60)))
+}
+
 func TestHedgesOnceAtAnotherCopy(t *testing.T) {
 	var s search.Search
 	f := &fleet{copies: []string{"a", "b", "c"}, budget: 10}
--- a/internal/serving/station/station.go
+++ b/internal/serving/station/station.go
@@ -195,8 +195,10 @@
 			for _, h := range hosts {
 				s.peers.Met(h)
 			}
-			if !met {
-				wait = time.Second
+			wait = time.Second
+			if met {
+				s.peers.Listed()
+				wait = recordEach
 			}
 		}
 		t := time.NewTimer(wait)
