Remember refusals; hedge stragglers, not a busy fleet

Cause: a copy that refused six in ten requests with room to spare stayed the first choice, and its refusals used up the retry budget: 189 searches ended 504. After power came back most parts were late at once and second sends made the targets busier still.

Change: a refusal counts as a failure in the memory of a copy; parts are hedged only while few of them are out; a listing of all targets is one log line.

--- a/internal/serving/copies/board_test.go
+++ b/internal/serving/copies/board_test.go
@@ -68,6 +68,29 @@
 	assert.LessOrEqual(t, asked, 2)
 }
 
+// TestLeavesACopyThatShedsAPartOfItsRequests replays a copy that refuses six in
+// ten requests for nine seconds though it has room: the other one takes its
+// requests, so that few need a second send.
+func TestLeavesACopyThatShedsAPartOfItsRequests(t *testing.T) {
+	var b copies.Board
+	r := source()
+	refused, asked := 0, 0
+	for ms := 0; ms < 9000; ms += 50 {
+		asked++
+		if b.Choose(at(ms), pair(), r) != 0 {
+			ask(&b, ms, "far", usual, copies.Answered)
+			continue
+		}
+		result := copies.Answered
+		if r.IntN(10) < 6 {
+			result = copies.Shed
+			refused++
+		}
+		ask(&b, ms, "near", time.Millisecond, result)
+	}
+	assert.Less(t, float64(refused)/float64(asked), 0.1)
+}
+
 func TestAsksTheBetterOfTwoThatFail(t *testing.T) {
 	var b copies.Board
 	for ms := range 40 {
--- a/internal/serving/copies/copy.go
+++ b/internal/serving/copies/copy.go
@@ -147,6 +147,8 @@
 		c.failedAt = now
 		c.rest = 0
 	case Shed:
+		c.failures = c.Failures(now)*(1-failureGain) + failureGain
+		c.failedAt = now
 		c.restFor(now, shedRest, shedRest)
 	case Failed:
 		c.failures = c.Failures(now)*(1-failureGain) + failureGain
--- a/internal/serving/gateway/belief.go
+++ b/internal/serving/gateway/belief.go
@@ -26,10 +26,15 @@
 	if !trouble.IsZero() {
 		g.catalog.Troubled(trouble)
 	}
+	g.quiet = whole
 	for i, c := range changes {
 		g.take(now, items[i].Revision, c, size)
 	}
-	g.listed = g.listed || whole
+	g.quiet = false
+	if whole {
+		g.listed = true
+		g.log.Info("store read", "items", len(items), "targets", g.catalog.Len())
+	}
 }
 
 func (g *Gateway) take(now time.Time, revision int64, c Change, size int) {
@@ -73,6 +78,9 @@
 	k := g.catalog.Get(t.ID)
 	g.pool.SetMost(t.ID, g.connections(k, size))
 	g.tally.Gauge("targets-known", g.catalog.Len())
+	if g.quiet {
+		return
+	}
 	g.log.Info("target", "target", t.ID, "service", t.Service, "data-centre", t.DataCentre, "address", t.Address,
 		"leaving", t.Leaving, "cold-ms", t.Cold.Milliseconds(), "restarted", restarted, "revision", revision)
 }
--- a/internal/serving/gateway/bounds.go
+++ b/internal/serving/gateway/bounds.go
@@ -39,7 +39,7 @@
 	// requestsMost is the number of requests under way at once.
 	requestsMost = 512
 	// connectionShare is the part of a target's connections that the hosts use.
-	connectionShare = 0.9
+	connectionShare = 0.7
 	// budgetShare is the part of the retry allowance that the hosts use, so that
 	// they stay within it when all of them restart.
 	budgetShare = 0.5
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -67,6 +67,8 @@
 	cold     map[string]time.Time
 	random   *rand.Rand
 	listed   bool
+	// quiet says that changes are not logged one by one.
+	quiet bool
 }
 
 // Options are what a gateway works with.
--- a/internal/serving/search/search.go
+++ b/internal/serving/search/search.go
@@ -13,6 +13,12 @@
 	againAfter = 15 * time.Millisecond
 	// againMost bounds that pause, which doubles.
 	againMost = 200 * time.Millisecond
+	// fewParts and fewShare are how many parts, and which share of them, may be
+	// out when some are hedged.
+	fewParts = 4
+	fewShare = 0.35
+	// hedgeLater is the pause before it is looked again.
+	hedgeLater = 5 * time.Millisecond
 	// spareSends is how many sends of a part may fail without having run before
 	// the part is given up.
 	spareSends = 3
@@ -273,8 +279,11 @@
 	return append(dst, s.send(now, i, choice.Target, why))
 }
 
-// Tick appends to dst what to send now that time has passed.
+// Tick appends to dst what to send now that time has passed. While most parts
+// are out, the targets are busy rather than a few of them late, and second sends
+// would only make them busier.
 func (s *Search) Tick(now time.Time, c Chooser, dst []Send) []Send {
+	crowded := s.waiting() > max(fewParts, int(fewShare*float64(len(s.parts))))
 	for i := range s.parts {
 		p := &s.parts[i]
 		switch {
@@ -285,6 +294,10 @@
 				dst = s.resend(now, c, i, s.reason(p), dst)
 			}
 		case s.mayHedge(p) && !now.Before(p.hedge):
+			if crowded {
+				p.hedge = now.Add(hedgeLater)
+				continue
+			}
 			p.hedged = true
 			dst = s.resend(now, c, i, Hedge, dst)
 		}
@@ -292,6 +305,17 @@
 	return dst
 }
 
+// waiting returns the number of parts that are out.
+func (s *Search) waiting() int {
+	n := 0
+	for i := range s.parts {
+		if s.parts[i].state == waiting {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *Search) reason(p *part) Reason {
 	if p.number == 0 {
 		return First
@@ -350,13 +374,9 @@
 
 // Verdict returns what is to become of the request now.
 func (s *Search) Verdict(now time.Time) Verdict {
-	hopeful, open := 0, 0
+	hopeful, open := s.waiting(), 0
 	for i := range s.parts {
-		p := &s.parts[i]
-		if p.state == waiting {
-			hopeful++
-		}
-		open += p.open
+		open += s.parts[i].open
 	}
 	switch {
 	case s.good == len(s.parts):
--- a/internal/serving/search/search_test.go
+++ b/internal/serving/search/search_test.go
@@ -103,6 +103,23 @@
 	assert.Empty(t, s.Tick(at(30), f, nil))
 }
 
+// TestDoesNotHedgeWhileMostPartsAreOut replays a surge in which all targets are
+// busy: second sends wait until only few parts are late.
+func TestDoesNotHedgeWhileMostPartsAreOut(t *testing.T) {
+	var s search.Search
+	f := &fleet{copies: []string{"a", "b"}, budget: 100}
+	p := plan()
+	p.Parts, p.Least = 20, 18
+	s.Reset(p)
+	sends := s.Begin(at(0), f, nil)
+	assert.Empty(t, s.Tick(at(20), f, nil))
+	for _, one := range sends[:14] {
+		s.Ended(at(21), f, one, search.Good, nil)
+	}
+	assert.Equal(t, at(25), s.Next(at(21)))
+	assert.Len(t, s.Tick(at(25), f, nil), 6)
+}
+
 func TestHedgesOnlyWithinTheBudget(t *testing.T) {
 	var s search.Search
 	f := &fleet{copies: []string{"a", "b"}, budget: 1}
