Admit searches by how fast half of their parts come back

Cause: in a burst of 2.9 times the load all searches queued at the targets and nearly all came late: 161 of 668 within the aim in the worst two seconds, 102 failed.

Change: the limiter of the product bounds the searches under way on a host; its signal is when half of the parts are in, which single stragglers do not move. Refused callers come back after 150 to 300 ms; one that comes back may exceed the limit by a half. Copies elsewhere cost 3 usual latencies instead of 2.

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -14,6 +14,8 @@
 	// the limit may rise and above which it is lowered.
 	quick = 0.5
 	slow  = 0.7
+	// urgentShare is how far urgent queries may exceed the limit.
+	urgentShare = 0.5
 )
 
 // Ending is how a query ended.
@@ -60,6 +62,16 @@
 	return true
 }
 
+// EnterUrgent admits a query that should not be refused again, beyond the limit by
+// a share of it, and reports whether there was room.
+func (l *Limiter) EnterUrgent() bool {
+	if l.running >= int(l.limit*(1+urgentShare)) {
+		return false
+	}
+	l.running++
+	return true
+}
+
 // Leave ends an admitted query.
 func (l *Limiter) Leave(now time.Time, e Ending) {
 	busy := float64(l.running) >= l.limit/2
--- a/admission/limiter_test.go
+++ b/admission/limiter_test.go
@@ -49,3 +49,15 @@
 	}
 	assert.Equal(t, 1, l.Limit())
 }
+
+func TestUrgentQueriesExceedTheLimitByAHalf(t *testing.T) {
+	var l admission.Limiter
+	l.Reset(100, 0)
+	for l.Enter() {
+	}
+	got := 0
+	for l.EnterUrgent() {
+		got++
+	}
+	assert.Equal(t, l.Limit()/2, got)
+}
--- a/internal/serving/copies/board.go
+++ b/internal/serving/copies/board.go
@@ -21,7 +21,7 @@
 	// latencies.
 	failureCost = 10
 	// farCost is what a copy in another data centre costs, in usual latencies.
-	farCost = 2
+	farCost = 3
 	// forgetAfter is how long a copy that is not used is remembered.
 	forgetAfter = time.Minute
 )
--- /dev/null
+++ b/internal/serving/gateway/admit.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"time"
+
+	"fescuerill/admission"
+	"fescuerill/internal/routing/manifest"
+)
+
+// admit reports whether a request may begin. Searches are bounded by how fast
+// half of their parts come back: single stragglers say nothing about the load,
+// but when half of the parts take most of the time, more searches only make all
+// of them late.
+func (g *Gateway) admit(q *Request, route *manifest.Route) bool {
+	if !route.Search() {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if q.Patience > 0 && float64(q.Patience) < returnShare*float64(route.Timeout) {
+		return g.limiter.EnterUrgent()
+	}
+	return g.limiter.Enter()
+}
+
+// spread returns a time from the given one to twice as much.
+func (g *Gateway) spread(d time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return d + time.Duration(g.random.Int64N(int64(d)))
+}
+
+// discharge ends an admitted search.
+func (r *run) discharge(now time.Time) {
+	if !r.route.Search() {
+		return
+	}
+	g := r.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	settle := r.plan.Settle
+	if settle.IsZero() {
+		settle = r.plan.End
+	}
+	half := now
+	if !r.half.IsZero() {
+		half = r.half
+	}
+	used := float64(half.Sub(r.request.Arrived)) / float64(settle.Sub(r.request.Arrived))
+	g.limiter.Leave(now, admission.Ending{Used: min(1, used)})
+	g.tally.Gauge("search-limit", g.limiter.Limit())
+}
--- a/internal/serving/gateway/bounds.go
+++ b/internal/serving/gateway/bounds.go
@@ -38,6 +38,16 @@
 	startRetry = 300 * time.Millisecond
 	// requestsMost is the number of requests under way at once.
 	requestsMost = 512
+	// searchesMost is the number of searches under way at once, and cutPeriod how
+	// often that is lowered when targets are busy.
+	searchesMost = 256
+	cutPeriod    = 100 * time.Millisecond
+	// busyRetry is when the caller of a search is to come back that was refused
+	// since targets are busy; as much again is added at random.
+	busyRetry = 150 * time.Millisecond
+	// returnShare is the part of a route's time below which the patience of a
+	// caller shows that it was refused before.
+	returnShare = 0.85
 	// connectionShare is the part of a target's connections that the hosts use.
 	connectionShare = 0.7
 	// budgetShare is the part of the retry allowance that the hosts use, so that
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"fescuerill/admission"
 	"fescuerill/budget"
 	"fescuerill/internal/fleet/feed"
 	"fescuerill/internal/routing/catalog"
@@ -67,6 +68,7 @@
 	cold     map[string]time.Time
 	random   *rand.Rand
 	listed   bool
+	limiter  admission.Limiter
 	// quiet says that changes are not logged one by one.
 	quiet bool
 }
@@ -90,6 +92,7 @@
 		dataCentre: o.DataCentre, fleet: o.Fleet, decoder: o.Decoder, log: o.Log, tally: o.Tally,
 		bounds: o.Bounds, random: o.Random, windows: map[string]*budget.Window{}, cold: map[string]time.Time{},
 	}
+	g.limiter.Reset(searchesMost, cutPeriod)
 	g.pool.Reset(o.Dial, o.Dialect, func() { g.tally.Add("target-connections-opened", 1) })
 	return g
 }
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -38,6 +38,8 @@
 	last    *exchange.Reply
 	trail   []step
 	unusual bool
+	// half is when half of the parts were in.
+	half time.Time
 }
 
 // ended is the end of a send.
@@ -65,7 +67,11 @@
 		return g.refuse(q, route, "host-full", retryLeast)
 	}
 	defer g.running.Add(-1)
+	if !g.admit(q, route) {
+		return g.refuse(q, route, "targets-busy", g.spread(busyRetry))
+	}
 	r := g.newRun(q, m, route)
+	defer func() { r.discharge(time.Now()) }()
 	return r.serve(ctx)
 }
 
@@ -249,6 +255,9 @@
 	r.chooser.now = now
 	outcome := r.judge(&e.reply)
 	sends, use := r.search.Ended(now, &r.chooser, e.send, outcome, nil)
+	if r.half.IsZero() && 2*r.search.Covered() >= r.plan.Parts {
+		r.half = now
+	}
 	if use {
 		r.replies[e.send.Part] = e.reply
 	}
