--- a/internal/serving/copies/board.go
+++ b/internal/serving/copies/board.go
@@ -19,7 +19,7 @@
 	restCost = 1000
 	// failureCost is what a copy that fails all requests costs, in usual
 	// latencies.
-	failureCost = 10
+	failureCost = 16
 	// farCost is what a copy in another data centre costs, in usual latencies.
 	farCost = 3
 	// forgetAfter is how long a copy that is not used is remembered.
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -154,6 +154,10 @@
 	request := &http.Request{Method: a.Method}
 	for stray := 0; ; {
 		r, err := http.ReadResponse(c.in, request)
+		if errors.Is(err, io.ErrUnexpectedEOF) {
+			// No whole header came; a body that is cut short fails below.
+			return nil, nil, io.EOF
+		}
 		if err != nil {
 			return nil, nil, err
 		}
--- a/internal/serving/search/search.go
+++ b/internal/serving/search/search.go
@@ -157,24 +157,39 @@
 	*s = Search{plan: p, parts: make([]part, p.Parts)}
 }
 
-// Begin appends to dst the first send of each part. Parts whose answers are not
-// to be expected in time are left out, so that they do not keep busy copies from
-// answering others, as far as the answer stays well above its floor.
+// Begin appends to dst the first send of each part. Nothing is sent if too few
+// parts can be asked. Parts whose answers are not to be expected in time are left
+// out, so that they do not keep busy copies from answering others, as far as the
+// answer stays well above its floor.
 func (s *Search) Begin(now time.Time, c Chooser, dst []Send) []Send {
-	spare := (len(s.parts) - s.plan.Least + 1) / 2
+	choices := make([]Choice, len(s.parts))
+	hopeful := 0
 	for i := range s.parts {
-		p := &s.parts[i]
 		choice, ok := c.Choose(i, nil, Any)
+		if !ok {
+			s.parts[i].state = idle
+			s.parts[i].again = now.Add(againAfter)
+			continue
+		}
+		choices[i] = choice
+		hopeful++
+	}
+	if hopeful < s.plan.Least {
+		for i := range s.parts {
+			s.parts[i].state = idle
+		}
+		return dst
+	}
+	spare := (len(s.parts) - s.plan.Least + 1) / 2
+	for i, choice := range choices {
+		p := &s.parts[i]
 		switch {
-		case !ok:
-			p.state = idle
-			p.again = now.Add(againAfter)
+		case p.state == idle:
 		case choice.Late && spare > 0 && s.plan.Repeatable:
 			spare--
 			p.state = given
 			p.late = true
 		default:
-			p.state = waiting
 			dst = append(dst, s.send(now, i, choice.Target, First))
 		}
 	}
