--- a/host/membership_test.go
+++ b/host/membership_test.go
@@ -174,3 +174,22 @@
 		}
 	}
 }
+
+func TestMeetsHostsOneByOneAndForgetsTheDead(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var m host.Membership
+	m.Reset(now, "a", "run", rand.New(rand.NewPCG(1, 1)))
+	assert.False(t, m.Meet(now, "a", "run"), "itself")
+	assert.True(t, m.Meet(now, "b", "one"))
+	assert.False(t, m.Meet(now, "b", "one"))
+	m.Failed(now, "b")
+	m.Tick(now.Add(host.Suspicion))
+	assert.Equal(t, host.Dead, m.State("b"))
+	assert.True(t, m.Meet(now, "b", "two"), "it has started again")
+	assert.Equal(t, host.Alive, m.State("b"))
+	m.Failed(now, "b")
+	m.Tick(now.Add(host.Suspicion))
+	assert.Empty(t, m.Forget(now.Add(host.Suspicion), time.Second, nil))
+	assert.Equal(t, []string{"b"}, m.Forget(now.Add(host.Suspicion+time.Second), time.Second, nil))
+	assert.Equal(t, 0, m.Len())
+}
--- /dev/null
+++ b/internal/fleet/feed/cursor_test.go
@@ -0,0 +1,90 @@
+package feed_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"fescuerill/internal/fleet/feed"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func listed() *feed.Cursor {
+	var c feed.Cursor
+	c.Read(at(0), at(5), 100)
+	return &c
+}
+
+func next(c *feed.Cursor, ms int, guide, peers bool) feed.Action {
+	action, _ := c.Next(at(ms), guide, peers)
+	return action
+}
+
+func TestReadsEverythingThenChangesAtItsPace(t *testing.T) {
+	var c feed.Cursor
+	assert.Equal(t, feed.List, next(&c, 0, true, true))
+	c.Read(at(0), at(5), 100)
+	assert.Equal(t, feed.None, next(&c, 900, false, true))
+	assert.Equal(t, feed.Watch, next(&c, 1000, false, true))
+	c.Read(at(1000), at(1010), 120)
+	assert.Equal(t, int64(120), c.Revision())
+	c.Read(at(1000), at(1020), 110)
+	assert.Equal(t, int64(120), c.Revision(), "a stale answer does not set it back")
+}
+
+func TestGuidedHostLeavesTheStoreAlone(t *testing.T) {
+	c := listed()
+	for ms := 1000; ms < 60_000; ms += 500 {
+		assert.Equal(t, feed.Ask, next(c, ms, true, true))
+		c.Told(at(ms), at(ms+1), 100, 300*time.Millisecond, time.Time{})
+	}
+}
+
+func TestGuidedHostReadsItselfWhenItsGuideIsBehindOrSilent(t *testing.T) {
+	c := listed()
+	c.Told(at(1000), at(1001), 100, 3*time.Second, time.Time{})
+	assert.Equal(t, feed.Watch, next(c, 1001, true, true))
+	c.Read(at(1001), at(1010), 101)
+	assert.Equal(t, feed.Watch, next(c, 2001, true, true), "the guide is not trusted for a while")
+	assert.Equal(t, feed.Ask, next(c, 5000, true, true))
+	c.Untold(at(5000))
+	assert.Equal(t, feed.Watch, next(c, 5000, true, true))
+}
+
+func TestWithoutTheStoreEachTryIsPairedWithAHost(t *testing.T) {
+	c := listed()
+	ms, tries, asked := 1000, 0, 0
+	for ms < 11_000 {
+		action, when := c.Next(at(ms), false, true)
+		switch action {
+		case feed.Watch:
+			tries++
+			c.Failed(at(ms))
+		case feed.Ask:
+			asked++
+			c.Told(at(ms), at(ms), 100, 10*time.Second, time.Time{})
+		default:
+			ms = int(when.Sub(at(0)).Milliseconds())
+		}
+	}
+	assert.InDelta(t, tries, asked, 1)
+	assert.Less(t, tries, 16, "calls that fail are counted too")
+	assert.Greater(t, tries, 8)
+	assert.Equal(t, at(ms-1000).Unix(), c.Trouble().Unix())
+}
+
+func TestOneFailureIsNoTrouble(t *testing.T) {
+	c := listed()
+	c.Failed(at(1000))
+	assert.True(t, c.Trouble().IsZero())
+	assert.False(t, c.Reached())
+	c.Read(at(1100), at(1101), 101)
+	assert.True(t, c.Reached())
+	c.Forgotten(at(2000))
+	assert.Equal(t, at(2000), c.Trouble())
+	assert.Equal(t, feed.List, next(c, 2000, false, false))
+}
--- /dev/null
+++ b/internal/fleet/feed/feed_test.go
@@ -0,0 +1,207 @@
+package feed_test
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
+
+	"fescuerill/internal/fleet/feed"
+	"fescuerill/internal/tally"
+)
+
+// store is a Source whose content the test changes.
+type store struct {
+	mu       sync.Mutex
+	items    map[string]feed.Item
+	history  []feed.Item
+	revision int64
+	down     bool
+	forgot   bool
+	calls    int
+}
+
+func (s *store) write(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	i := feed.Item{Key: key, Value: []byte(value), Revision: s.revision, Gone: value == ""}
+	s.history = append(s.history, i)
+	if i.Gone {
+		delete(s.items, key)
+		return
+	}
+	s.items[key] = i
+}
+
+func (s *store) set(down, forgot bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down, s.forgot = down, forgot
+}
+
+var errDown = errors.New("down")
+
+func (s *store) List(context.Context) ([]feed.Item, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return nil, 0, errDown
+	}
+	var all []feed.Item
+	for _, i := range s.items {
+		all = append(all, i)
+	}
+	s.forgot = false
+	return all, s.revision, nil
+}
+
+func (s *store) Watch(_ context.Context, after int64, _ time.Duration) ([]feed.Item, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	switch {
+	case s.down:
+		return nil, 0, errDown
+	case s.forgot:
+		return nil, 0, feed.ErrForgotten
+	}
+	var news []feed.Item
+	for _, i := range s.history {
+		if i.Revision > after {
+			news = append(news, i)
+		}
+	}
+	return news, s.revision, nil
+}
+
+// sink keeps the values that were taken.
+type sink struct {
+	mu     sync.Mutex
+	values map[string]string
+}
+
+func (s *sink) Take(_ time.Time, items []feed.Item, _ bool, _ time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range items {
+		if i.Gone {
+			delete(s.values, i.Key)
+			continue
+		}
+		s.values[i.Key] = string(i.Value)
+	}
+}
+
+func (s *sink) get(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.values[key]
+}
+
+// neighbour is another host, or none.
+type neighbour struct {
+	feed  *feed.Feed
+	guide bool
+}
+
+func (n *neighbour) Guide() bool { return n.guide }
+func (n *neighbour) Any() bool   { return n.feed != nil }
+func (n *neighbour) Ask(_ context.Context, after int64, whole bool) (feed.Told, error) {
+	told, ok := n.feed.Tell(time.Now(), after, whole)
+	if !ok {
+		return feed.Told{}, errors.New("nothing known")
+	}
+	return told, nil
+}
+
+type reader struct {
+	feed.Feed
+	sink sink
+}
+
+func follow(ctx context.Context, source feed.Source, n *neighbour) *reader {
+	r := &reader{sink: sink{values: map[string]string{}}}
+	r.Reset(source, n, &r.sink, slog.New(slog.DiscardHandler), &tally.Tally{})
+	go r.Run(ctx)
+	return r
+}
+
+func TestFollowsChangesThroughOutagesAndLostHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &store{items: map[string]feed.Item{}}
+		s.write("a", "1")
+		r := follow(ctx, s, &neighbour{})
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, "1", r.sink.get("a"))
+
+		s.write("a", "2")
+		time.Sleep(1100 * time.Millisecond)
+		assert.Equal(t, "2", r.sink.get("a"))
+
+		s.set(true, false)
+		time.Sleep(10 * time.Second)
+		s.write("a", "3")
+		s.set(false, false)
+		time.Sleep(1100 * time.Millisecond)
+		assert.Equal(t, "3", r.sink.get("a"))
+
+		s.write("b", "1")
+		time.Sleep(1100 * time.Millisecond)
+		s.set(false, true)
+		s.write("b", "")
+		s.write("a", "4")
+		time.Sleep(1100 * time.Millisecond)
+		assert.Equal(t, "4", r.sink.get("a"))
+		assert.Empty(t, r.sink.get("b"), "what the listing lacks is gone")
+	})
+}
+
+func TestHostWithoutTheStoreStartsFromAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &store{items: map[string]feed.Item{}}
+		s.write("a", "1")
+		other := follow(ctx, s, &neighbour{})
+		time.Sleep(10 * time.Millisecond)
+		cut := &store{items: map[string]feed.Item{}, down: true}
+		r := follow(ctx, cut, &neighbour{feed: &other.Feed})
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, "1", r.sink.get("a"))
+
+		s.write("a", "2")
+		s.write("b", "1")
+		s.write("b", "")
+		time.Sleep(2500 * time.Millisecond)
+		assert.Equal(t, "2", r.sink.get("a"))
+		assert.Empty(t, r.sink.get("b"))
+	})
+}
+
+func TestGuidedHostsMakeNoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &store{items: map[string]feed.Item{}}
+		guide := follow(ctx, s, &neighbour{})
+		time.Sleep(10 * time.Millisecond)
+		mine := &store{items: map[string]feed.Item{}}
+		r := follow(ctx, mine, &neighbour{feed: &guide.Feed, guide: true})
+		for n := range 30 {
+			s.write("a", time.Duration(n).String())
+			time.Sleep(time.Second)
+		}
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, time.Duration(29).String(), r.sink.get("a"))
+		assert.LessOrEqual(t, mine.calls, 1, "the first listing")
+	})
+}
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -17,8 +18,6 @@
 )
 
 const (
-	// datagramMost is the length in bytes of the longest datagram.
-	datagramMost = 1400
 	// indirect is how long the helpers have to reach a host that did not answer.
 	indirect = 300 * time.Millisecond
 	// forgetAfter is how long a dead host is remembered.
@@ -316,7 +315,7 @@
 			continue
 		}
 		var m fleet.Message
-		if err := json.Unmarshal(buffer[:n], &m); err != nil {
+		if err := json.Unmarshal(buffer[:n], &m); err != nil || !valid(m) {
 			p.tally.Add("datagrams-unreadable", 1)
 			continue
 		}
@@ -324,6 +323,12 @@
 	}
 }
 
+// valid reports whether the sender of a message is named as a host is.
+func valid(m fleet.Message) bool {
+	_, err := netip.ParseAddrPort(m.From)
+	return err == nil && m.Incarnation != ""
+}
+
 func (p *Peers) take(m fleet.Message) {
 	now := time.Now()
 	p.mu.Lock()
--- /dev/null
+++ b/internal/fleet/peers/peers_test.go
@@ -0,0 +1,178 @@
+package peers_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"fescuerill/host"
+	"fescuerill/internal/fleet/feed"
+	"fescuerill/internal/fleet/peers"
+	"fescuerill/internal/tally"
+)
+
+// lossy drops datagrams while it is cut, and one in ten at other times.
+type lossy struct {
+	net.PacketConn
+	cut    atomic.Bool
+	random atomic.Int64
+}
+
+func (l *lossy) WriteTo(p []byte, a net.Addr) (int, error) {
+	if l.cut.Load() || l.random.Add(7)%10 == 0 {
+		return len(p), nil
+	}
+	return l.PacketConn.WriteTo(p, a)
+}
+
+type member struct {
+	*peers.Peers
+	address string
+	conn    *lossy
+	stop    context.CancelFunc
+}
+
+type teller struct{}
+
+func (teller) Tell(_ time.Time, after int64, whole bool) (feed.Told, bool) {
+	return feed.Told{
+		Items:    []feed.Item{{Key: "k", Value: []byte{0, 255}, Revision: after + 1}, {Key: "g", Revision: after + 2, Gone: true}},
+		Revision: after + 2, Whole: whole, Age: time.Second, Trouble: time.Now().Add(-time.Minute),
+	}, true
+}
+
+func join(t *testing.T, n int, centre string, seeds ...string) *member {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := conn.LocalAddr().String()
+	l, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	m := &member{address: address, conn: &lossy{PacketConn: conn}, stop: cancel}
+	self := peers.Self{Address: address, DataCentre: centre, Incarnation: fmt.Sprint("run", n)}
+	m.Peers = peers.Start(ctx, self, m.conn, rand.New(rand.NewPCG(uint64(n), 1)), slog.New(slog.DiscardHandler), &tally.Tally{})
+	go m.Serve(ctx, l, teller{})
+	m.Greet(seeds)
+	return m
+}
+
+func (m *member) state(address string) host.State {
+	s := host.Dead
+	m.Each(func(h peers.Host) {
+		if h.Address == address {
+			s = h.State
+		}
+	})
+	return s
+}
+
+func fleet(t *testing.T, n int) []*member {
+	all := []*member{join(t, 0, "a")}
+	for i := 1; i < n; i++ {
+		all = append(all, join(t, i, []string{"a", "b"}[i%2], all[0].address))
+	}
+	// Hosts meet through the records in the store.
+	for _, m := range all {
+		for i, o := range all {
+			m.Met(peers.Host{Address: o.address, DataCentre: []string{"a", "b"}[i%2], Incarnation: fmt.Sprint("run", i)})
+		}
+		m.Listed()
+	}
+	return all
+}
+
+func TestHostThatDiesIsNoLongerAliveForAnyone(t *testing.T) {
+	all := fleet(t, 6)
+	require.Eventually(t, func() bool { return all[5].Size() == 6 && all[0].Size() == 6 }, 3*time.Second, 10*time.Millisecond)
+	all[5].stop()
+	died := time.Now()
+	for _, m := range all[:5] {
+		require.Eventually(t, func() bool { return m.state(all[5].address) != host.Alive }, 6*time.Second, 10*time.Millisecond)
+	}
+	assert.Less(t, time.Since(died), 6*time.Second, "callers must not be told of it for long")
+	assert.Equal(t, 6, all[0].Size(), "its connections may still count at targets")
+}
+
+func TestHostThatLeavesIsKnownToLeaveAtOnce(t *testing.T) {
+	all := fleet(t, 4)
+	require.Eventually(t, func() bool { return all[0].state(all[3].address) == host.Alive }, 3*time.Second, 10*time.Millisecond)
+	all[3].Leave()
+	for _, m := range all[:3] {
+		assert.Eventually(t, func() bool { return m.state(all[3].address) == host.Leaving }, 2*time.Second, 10*time.Millisecond)
+	}
+}
+
+func TestHostThatWasCutOffComesBack(t *testing.T) {
+	all := fleet(t, 4)
+	all[3].conn.cut.Store(true)
+	require.Eventually(t, func() bool { return all[0].state(all[3].address) == host.Dead }, 12*time.Second, 20*time.Millisecond)
+	all[3].conn.cut.Store(false)
+	assert.Eventually(t, func() bool { return all[0].state(all[3].address) == host.Alive }, 12*time.Second, 20*time.Millisecond)
+}
+
+func TestAsksAnotherHostWhatItKnows(t *testing.T) {
+	all := fleet(t, 3)
+	got, err := all[0].Ask(t.Context(), 41, true)
+	require.NoError(t, err)
+	assert.Equal(t, int64(43), got.Revision)
+	assert.True(t, got.Whole)
+	assert.Equal(t, time.Second, got.Age)
+	assert.InDelta(t, 60, time.Since(got.Trouble).Seconds(), 2)
+	assert.Equal(t, []feed.Item{{Key: "k", Value: []byte{0, 255}, Revision: 42}, {Key: "g", Revision: 43, Gone: true}}, got.Items)
+
+	lonely := join(t, 9, "z")
+	_, err = lonely.Ask(t.Context(), 0, true)
+	assert.Error(t, err)
+	assert.False(t, lonely.Any())
+}
+
+func TestOneHostOfADataCentreGuidesTheOthers(t *testing.T) {
+	all := fleet(t, 6)
+	require.Eventually(t, func() bool {
+		guides := 0
+		for _, m := range all {
+			if !m.Guide() {
+				guides++
+			}
+		}
+		return guides == 2
+	}, 5*time.Second, 10*time.Millisecond)
+}
+
+func TestAssumesAFleetUntilItIsKnown(t *testing.T) {
+	m := join(t, 1, "a")
+	assert.Greater(t, m.Size(), 1)
+	m.Listed()
+	assert.Equal(t, 1, m.Size())
+}
+
+func TestTakesNoHarmFromWhatItCannotRead(t *testing.T) {
+	m := join(t, 1, "a")
+	c, err := net.Dial("udp", m.address)
+	require.NoError(t, err)
+	for _, text := range []string{"", "{", `{"kind":"dance"}`, `{"kind":"answer","number":99,"from":"x"}`} {
+		_, err := c.Write([]byte(text))
+		require.NoError(t, err)
+	}
+	tcp, err := net.Dial("tcp", m.address)
+	require.NoError(t, err)
+	_, err = tcp.Write([]byte("{]"))
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	assert.False(t, m.Any(), "no host is known by such messages")
+	other := join(t, 2, "a", m.address)
+	assert.Eventually(t, func() bool { return other.state(m.address) == host.Alive }, 2*time.Second, 10*time.Millisecond)
+	if _, err := other.Ask(t.Context(), 0, false); err != nil {
+		t.Fatal(errors.Wrap(err, "still answers"))
+	}
+}
--- /dev/null
+++ b/internal/routing/catalog/catalog_test.go
@@ -0,0 +1,96 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"fescuerill/internal/routing/catalog"
+)
+
+var start = time.Unix(1000, 0)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+func target(sequence int64) catalog.Target {
+	return catalog.Target{ID: "t", Service: "s", Address: "10.0.0.1:80", DataCentre: "a", Incarnation: 5, Slots: 2, Sequence: sequence}
+}
+
+func TestHeartbeatIsNoChange(t *testing.T) {
+	var c catalog.Catalog
+	assert.True(t, c.Put(start, target(1)))
+	assert.False(t, c.Put(start, target(2)))
+	leaving := target(3)
+	leaving.Leaving = true
+	assert.True(t, c.Put(start, leaving))
+	assert.False(t, c.Usable(c.Get("t")))
+	assert.False(t, c.Put(start, target(2)), "an older report of the same run")
+	assert.True(t, c.Get("t").Leaving)
+}
+
+func TestNewRunReplacesTheOld(t *testing.T) {
+	var c catalog.Catalog
+	c.Put(start, target(90))
+	again := target(1)
+	again.Incarnation = 6
+	again.Cold = 3 * time.Second
+	assert.True(t, c.Put(start, again))
+	assert.Len(t, c.Service("s"), 1)
+	assert.Equal(t, after(3*time.Second), c.Get("t").ColdUntil)
+	assert.False(t, c.Put(start, target(91)), "a report of the old run")
+	assert.Equal(t, int64(6), c.Get("t").Incarnation)
+}
+
+func TestTargetThatTurnsColdAgain(t *testing.T) {
+	var c catalog.Catalog
+	c.Put(start, target(1))
+	cold := target(2)
+	cold.Cold = time.Second
+	assert.True(t, c.Put(after(time.Minute), cold))
+	cold.Cold, cold.Sequence = 500*time.Millisecond, 3
+	c.Put(after(time.Minute+time.Second), cold)
+	assert.Equal(t, after(time.Minute+1500*time.Millisecond), c.Get("t").ColdUntil)
+}
+
+func TestTargetGoneInCalmTimesIsDroppedAtOnce(t *testing.T) {
+	var c catalog.Catalog
+	c.Put(start, target(1))
+	assert.True(t, c.Remove(after(time.Second), "t"))
+	assert.Nil(t, c.Get("t"))
+	assert.Empty(t, c.Service("s"))
+}
+
+func TestTargetLostInTroubleHasTimeToComeBack(t *testing.T) {
+	var c catalog.Catalog
+	c.Put(start, target(1))
+	c.Troubled(after(10 * time.Second))
+	assert.False(t, c.Remove(after(10*time.Second), "t"))
+	assert.True(t, c.Usable(c.Get("t")))
+	assert.Empty(t, c.Expire(after(12*time.Second), nil))
+	c.Put(after(12*time.Second), target(2))
+	assert.Empty(t, c.Expire(after(20*time.Second), nil), "it came back")
+
+	c.Troubled(after(30 * time.Second))
+	c.Remove(after(30*time.Second), "t")
+	assert.Equal(t, []string{"t"}, c.Expire(after(30*time.Second+catalog.ReturnTime+time.Millisecond), nil))
+}
+
+func TestLeavingTargetGoneInTroubleIsDropped(t *testing.T) {
+	var c catalog.Catalog
+	leaving := target(1)
+	leaving.Leaving = true
+	c.Put(start, leaving)
+	c.Troubled(start)
+	assert.True(t, c.Remove(start, "t"))
+}
+
+func TestDataCentreOut(t *testing.T) {
+	var c catalog.Catalog
+	c.Put(start, target(1))
+	assert.True(t, c.SetOut("a", true))
+	assert.False(t, c.SetOut("a", true))
+	assert.False(t, c.Usable(c.Get("t")))
+	assert.True(t, c.SetOut("a", false))
+	assert.True(t, c.Usable(c.Get("t")))
+}
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -148,35 +148,35 @@
 	}
 }
 
-// read takes the answer to the request off the connection. Answers to other
-// requests are passed over.
-func (c *conn) read(a *Ask, d Dialect) (*http.Response, []byte, error) {
+// read takes the answer to the request off the connection, with its status,
+// header and body. Answers to other requests are passed over.
+func (c *conn) read(a *Ask, d Dialect) (Reply, error) {
 	request := &http.Request{Method: a.Method}
 	for stray := 0; ; {
 		r, err := http.ReadResponse(c.in, request)
 		if errors.Is(err, io.ErrUnexpectedEOF) {
 			// No whole header came; a body that is cut short fails below.
-			return nil, nil, io.EOF
+			return Reply{}, io.EOF
 		}
 		if err != nil {
-			return nil, nil, err
+			return Reply{}, err
 		}
 		if r.StatusCode < http.StatusOK {
 			continue
 		}
 		body, err := readBody(r)
 		if err != nil {
-			return r, nil, err
+			return Reply{}, err
 		}
 		if r.Close {
 			c.last = true
 		}
 		if id := d.Answers(r.Header); id == "" || id == a.ID {
-			return r, body, nil
+			return Reply{Status: r.StatusCode, Header: r.Header, Body: body}, nil
 		}
 		c.last = true
 		if stray++; stray > strayMost || r.Close {
-			return nil, nil, errCrossed
+			return Reply{}, errCrossed
 		}
 	}
 }
--- a/internal/serving/exchange/pool.go
+++ b/internal/serving/exchange/pool.go
@@ -268,14 +268,13 @@
 	if err := c.write(a, t, p.dialect, left); err != nil {
 		return Reply{Outcome: search.Unknown, Reason: reasonWrite, Err: err}
 	}
-	response, body, err := c.read(a, p.dialect)
+	r, err := c.read(a, p.dialect)
 	if err != nil {
 		reason := reasonOf(err)
 		return Reply{Outcome: search.Unknown, Reason: reason, Silent: reason == reasonSilent, Err: err}
 	}
-	c.keep(response.Header)
-	r := Reply{Status: response.StatusCode, Header: response.Header, Body: body}
-	p.dialect.Interpret(response.Header, &r)
+	c.keep(r.Header)
+	p.dialect.Interpret(r.Header, &r)
 	return r
 }
 
--- a/internal/serving/exchange/pool_test.go
+++ b/internal/serving/exchange/pool_test.go
@@ -94,8 +94,8 @@
 	}
 }
 
-func (s *target) at(id string) exchange.Target {
-	return exchange.Target{ID: id, Address: s.listener.Addr().String()}
+func (s *target) named() exchange.Target {
+	return exchange.Target{ID: "t", Address: s.listener.Addr().String()}
 }
 
 const (
@@ -143,14 +143,14 @@
 			t.Parallel()
 			s := listen(t, test.text, whole)
 			p := newPool()
-			got := p.Do(t.Context(), s.at("t"), ask("1"), func() time.Duration { return 50 * time.Millisecond })
+			got := p.Do(t.Context(), s.named(), ask("1"), func() time.Duration { return 50 * time.Millisecond })
 			assert.Equal(t, test.outcome, got.Outcome, got.Err)
 			assert.Equal(t, test.reason, got.Reason, got.Err)
 			if test.outcome == search.Good {
 				assert.Equal(t, "body", string(got.Body))
 			}
 			time.Sleep(20 * time.Millisecond)
-			next := p.Do(t.Context(), s.at("t"), ask("2"), second)
+			next := p.Do(t.Context(), s.named(), ask("2"), second)
 			assert.Equal(t, search.Good, next.Outcome, next.Err)
 			assert.Equal(t, "body", string(next.Body), "no bytes of the first answer are left")
 			assert.Equal(t, test.again, s.conns.Load() == 1)
@@ -181,12 +181,12 @@
 	s := listen(t, "...")
 	p := newPool()
 	p.SetMost("t", 1)
-	go p.Do(t.Context(), s.at("t"), ask("1"), func() time.Duration { return 100 * time.Millisecond })
+	go p.Do(t.Context(), s.named(), ask("1"), func() time.Duration { return 100 * time.Millisecond })
 	time.Sleep(30 * time.Millisecond)
 	assert.True(t, p.Full("t"))
 	asked := time.Now()
 	var waited time.Duration
-	p.Do(t.Context(), s.at("t"), ask("2"), func() time.Duration {
+	p.Do(t.Context(), s.named(), ask("2"), func() time.Duration {
 		waited = time.Since(asked)
 		return 0
 	})
@@ -198,7 +198,7 @@
 	s := listen(t, "...")
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(30*time.Millisecond, cancel)
-	got := newPool().Do(ctx, s.at("t"), ask("1"), second)
+	got := newPool().Do(ctx, s.named(), ask("1"), second)
 	assert.Equal(t, search.Unknown, got.Outcome)
 	assert.Eventually(t, func() bool { return s.closed.Load() == 1 }, time.Second, time.Millisecond)
 }
