Drop targets in time after trouble with the store; an isolated host names no hosts

Change: the time to come back runs from the trouble of whoever read the store, so that a host whom it turns away believes a host that it serves; the daemon names no hosts while it is isolated. Changes of targets are one log line a reading.

--- a/internal/daemon/api.go
+++ b/internal/daemon/api.go
@@ -155,7 +155,8 @@
 }
 
 // getHosts names the hosts to use, in an order that differs from caller to
-// caller. Hosts that leave and hosts in a data centre that is out are absent.
+// caller. Hosts that leave and hosts in a data centre that is out are absent. A
+// host that hears nobody names none, so that callers ask another.
 func (d *Daemon) getHosts(w http.ResponseWriter, r *http.Request) {
 	near := r.FormValue("data-centre")
 	if len(near) > maxName {
@@ -171,7 +172,7 @@
 func (d *Daemon) addresses(near string) []caller.Address {
 	out := []caller.Address{}
 	v, division := d.entry.view.Load(), d.division.Load()
-	if v == nil || division == nil {
+	if v == nil || division == nil || d.gossip.isolated(time.Now()) {
 		return out
 	}
 	for _, h := range division.record.hosts {
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -68,7 +68,8 @@
 // Sink takes what is read.
 type Sink interface {
 	// Take takes items in the order of their revisions. whole says that there
-	// are no others. trouble is when the store last had trouble.
+	// are no others. trouble is when the store last had trouble for the host that
+	// read them, or zero.
 	Take(now time.Time, items []Item, whole bool, trouble time.Time)
 }
 
@@ -136,7 +137,7 @@
 		return
 	}
 	f.reached(began, revision)
-	f.take(items, true)
+	f.take(items, true, f.trouble())
 }
 
 func (f *Feed) watch(ctx context.Context, after int64) {
@@ -156,7 +157,7 @@
 		f.failed(ctx, "watch", began, err)
 	default:
 		f.reached(began, revision)
-		f.take(items, false)
+		f.take(items, false, f.trouble())
 	}
 }
 
@@ -180,7 +181,7 @@
 	f.cursor.Told(began, now, told.Revision, told.Age, told.Trouble)
 	f.mu.Unlock()
 	if !older {
-		f.take(told.Items, told.Whole)
+		f.take(told.Items, told.Whole, told.Trouble)
 	}
 }
 
@@ -212,13 +213,20 @@
 	}
 }
 
-// take keeps the items for other hosts and hands on those that are news.
-func (f *Feed) take(items []Item, whole bool) {
+// trouble returns when the store last had trouble, as this host saw it.
+func (f *Feed) trouble() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cursor.Trouble()
+}
+
+// take keeps the items for other hosts and hands on those that are news. trouble
+// is when the store last had trouble for whoever read them.
+func (f *Feed) take(items []Item, whole bool, trouble time.Time) {
 	now := time.Now()
 	sort.SliceStable(items, func(i, j int) bool { return items[i].Revision < items[j].Revision })
 	f.mu.Lock()
 	news := f.keep(items, whole)
-	trouble := f.cursor.Trouble()
 	f.mu.Unlock()
 	f.sink.Take(now, news, whole, trouble)
 }
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -83,13 +83,15 @@
 
 // sink keeps the values that were taken.
 type sink struct {
-	mu     sync.Mutex
-	values map[string]string
+	mu      sync.Mutex
+	values  map[string]string
+	trouble time.Time
 }
 
-func (s *sink) Take(_ time.Time, items []feed.Item, _ bool, _ time.Time) {
+func (s *sink) Take(_ time.Time, items []feed.Item, _ bool, trouble time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.trouble = trouble
 	for _, i := range items {
 		if i.Gone {
 			delete(s.values, i.Key)
@@ -184,6 +186,7 @@
 		time.Sleep(2500 * time.Millisecond)
 		assert.Equal(t, "2", r.sink.get("a"))
 		assert.Empty(t, r.sink.get("b"))
+		assert.True(t, r.sink.trouble.IsZero(), "the store has no trouble with the other host")
 	})
 }
 
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -31,8 +31,8 @@
 	Target
 	// ColdUntil is when the target becomes warm.
 	ColdUntil time.Time
-	// missing is when the target vanished from the store; zero if it has not.
-	missing time.Time
+	// missing says that the target vanished from the store.
+	missing bool
 }
 
 // Catalog is what is known of all targets. The zero value knows none and is
@@ -73,7 +73,7 @@
 		k.ColdUntil = now.Add(t.Cold)
 	}
 	if old != nil && same(old.Target, t) {
-		old.missing = time.Time{}
+		old.missing = false
 		old.Target = t
 		old.ColdUntil = k.ColdUntil
 		return false
@@ -95,25 +95,23 @@
 	return a == b
 }
 
-// Troubled notes that the store failed to answer or served without its recent
-// history.
-func (c *Catalog) Troubled(now time.Time) { c.troubled = now }
-
 // Remove takes that the target is no longer in the store and reports whether it
-// was dropped at once. One that vanished near trouble of the store is dropped by
-// Expire unless it comes back.
-func (c *Catalog) Remove(now time.Time, id string) bool {
+// was dropped at once. trouble is when the store last had trouble, as known to
+// whoever read it, or zero. A target that vanished near such trouble is dropped
+// by Expire unless it comes back.
+func (c *Catalog) Remove(now time.Time, id string, trouble time.Time) bool {
 	k := c.targets[id]
 	if k == nil {
 		return false
 	}
-	if k.Leaving || c.troubled.IsZero() || now.Sub(c.troubled) > ReturnTime {
+	if k.Leaving || trouble.IsZero() || now.Sub(trouble) > ReturnTime {
 		c.drop(id)
 		return true
 	}
-	if k.missing.IsZero() {
-		k.missing = now
+	if trouble.After(c.troubled) {
+		c.troubled = trouble
 	}
+	k.missing = true
 	return false
 }
 
@@ -121,7 +119,7 @@
 // store has ended, and appends their IDs to dst.
 func (c *Catalog) Expire(now time.Time, dst []string) []string {
 	for id, k := range c.targets {
-		if !k.missing.IsZero() && now.Sub(c.troubled) > ReturnTime && now.Sub(k.missing) > ReturnTime {
+		if k.missing && now.Sub(c.troubled) > ReturnTime {
 			c.drop(id)
 			dst = append(dst, id)
 		}
--- a/internal/routing/catalog/catalog_test.go
+++ b/internal/routing/catalog/catalog_test.go
@@ -56,7 +56,7 @@
 func TestTargetGoneInCalmTimesIsDroppedAtOnce(t *testing.T) {
 	var c catalog.Catalog
 	c.Put(start, target(1))
-	assert.True(t, c.Remove(after(time.Second), "t"))
+	assert.True(t, c.Remove(after(time.Second), "t", time.Time{}))
 	assert.Nil(t, c.Get("t"))
 	assert.Empty(t, c.Service("s"))
 }
@@ -64,25 +64,32 @@
 func TestTargetLostInTroubleHasTimeToComeBack(t *testing.T) {
 	var c catalog.Catalog
 	c.Put(start, target(1))
-	c.Troubled(after(10 * time.Second))
-	assert.False(t, c.Remove(after(10*time.Second), "t"))
+	assert.False(t, c.Remove(after(10*time.Second), "t", after(10*time.Second)))
 	assert.True(t, c.Usable(c.Get("t")))
 	assert.Empty(t, c.Expire(after(12*time.Second), nil))
 	c.Put(after(12*time.Second), target(2))
 	assert.Empty(t, c.Expire(after(20*time.Second), nil), "it came back")
 
-	c.Troubled(after(30 * time.Second))
-	c.Remove(after(30*time.Second), "t")
+	c.Remove(after(30*time.Second), "t", after(30*time.Second))
 	assert.Equal(t, []string{"t"}, c.Expire(after(30*time.Second+catalog.ReturnTime+time.Millisecond), nil))
 }
 
+// TestTargetGoneSoonAfterTroubleIsDroppedInTime replays a store that serves a host
+// again shortly before a target leaves without a word: the host must not keep the
+// target for longer than entries take to come back after the trouble.
+func TestTargetGoneSoonAfterTroubleIsDroppedInTime(t *testing.T) {
+	var c catalog.Catalog
+	c.Put(start, target(1))
+	assert.False(t, c.Remove(after(900*time.Millisecond), "t", start))
+	assert.Equal(t, []string{"t"}, c.Expire(after(catalog.ReturnTime+time.Millisecond), nil))
+}
+
 func TestLeavingTargetGoneInTroubleIsDropped(t *testing.T) {
 	var c catalog.Catalog
 	leaving := target(1)
 	leaving.Leaving = true
 	c.Put(start, leaving)
-	c.Troubled(start)
-	assert.True(t, c.Remove(start, "t"))
+	assert.True(t, c.Remove(start, "t", start))
 }
 
 func TestDataCentreOut(t *testing.T) {
--- a/internal/serving/gateway/belief.go
+++ b/internal/serving/gateway/belief.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"fescuerill/internal/fleet/feed"
@@ -23,28 +25,27 @@
 	size := g.fleet.Size()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !trouble.IsZero() {
-		g.catalog.Troubled(trouble)
-	}
-	g.quiet = whole
 	for i, c := range changes {
-		g.take(now, items[i].Revision, c, size)
+		g.take(now, items[i].Revision, c, size, trouble)
 	}
-	g.quiet = false
+	g.tally.Gauge("targets-known", g.catalog.Len())
 	if whole {
 		g.listed = true
 		g.log.Info("store read", "items", len(items), "targets", g.catalog.Len())
+	} else if len(g.news) > 0 {
+		g.log.Info("targets", "changes", strings.Join(g.news, " "), "known", g.catalog.Len(), "revision", items[len(items)-1].Revision)
 	}
+	g.news = g.news[:0]
 }
 
-func (g *Gateway) take(now time.Time, revision int64, c Change, size int) {
+func (g *Gateway) take(now time.Time, revision int64, c Change, size int, trouble time.Time) {
 	switch {
 	case c.Manifest != nil:
 		g.adopt(revision, c.Manifest)
 	case c.Target != nil:
-		g.put(now, revision, *c.Target, size)
+		g.put(now, *c.Target, size)
 	case c.Gone != "":
-		g.remove(now, revision, c.Gone)
+		g.remove(now, c.Gone, trouble)
 	case c.Centre != "":
 		if g.catalog.SetOut(c.Centre, !c.Back) {
 			g.log.Info("data centre", "data-centre", c.Centre, "out", !c.Back, "revision", revision)
@@ -65,7 +66,7 @@
 	g.log.Info("manifest in force", "version", m.Version(), "revision", revision, "routes", len(m.Routes()))
 }
 
-func (g *Gateway) put(now time.Time, revision int64, t catalog.Target, size int) {
+func (g *Gateway) put(now time.Time, t catalog.Target, size int) {
 	old := g.catalog.Get(t.ID)
 	restarted := old != nil && old.Incarnation != t.Incarnation
 	if !g.catalog.Put(now, t) {
@@ -77,24 +78,33 @@
 	}
 	k := g.catalog.Get(t.ID)
 	g.pool.SetMost(t.ID, g.connections(k, size))
-	g.tally.Gauge("targets-known", g.catalog.Len())
-	if g.quiet {
-		return
-	}
-	g.log.Info("target", "target", t.ID, "service", t.Service, "data-centre", t.DataCentre, "address", t.Address,
-		"leaving", t.Leaving, "cold-ms", t.Cold.Milliseconds(), "restarted", restarted, "revision", revision)
+	g.news = append(g.news, fmt.Sprintf("%s:%s:%s:%s", t.ID, t.Service, t.DataCentre, wordOf(t, restarted)))
+}
+
+func wordOf(t catalog.Target, restarted bool) string {
+	switch {
+	case t.Leaving:
+		return "leaving"
+	case restarted:
+		return "restarted"
+	case t.Cold > 0:
+		return fmt.Sprintf("cold-%dms", t.Cold.Milliseconds())
+	}
+	return "ready"
 }
 
-func (g *Gateway) remove(now time.Time, revision int64, id string) {
-	known := g.catalog.Get(id) != nil
-	if g.catalog.Remove(now, id) {
+func (g *Gateway) remove(now time.Time, id string, trouble time.Time) {
+	k := g.catalog.Get(id)
+	if k == nil {
+		return
+	}
+	word := "missing"
+	if g.catalog.Remove(now, id, trouble) {
 		g.pool.Drop(id)
 		g.board.Forget(id)
-		g.tally.Gauge("targets-known", g.catalog.Len())
-	}
-	if known {
-		g.log.Info("target gone from the store", "target", id, "kept", g.catalog.Get(id) != nil, "revision", revision)
+		word = "gone"
 	}
+	g.news = append(g.news, fmt.Sprintf("%s:%s:%s:%s", id, k.Service, k.DataCentre, word))
 }
 
 // Coverage calls f for each data centre with the share of the services with
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -69,8 +69,8 @@
 	random   *rand.Rand
 	listed   bool
 	limiter  admission.Limiter
-	// quiet says that changes are not logged one by one.
-	quiet bool
+	// news says which targets changed, for the log.
+	news []string
 }
 
 // Options are what a gateway works with.
@@ -123,7 +123,7 @@
 
 // Housekeep does what is due now and then, until ctx ends.
 func (g *Gateway) Housekeep(ctx context.Context) {
-	const period, pruneEach = 500 * time.Millisecond, 8
+	const period, pruneEach = 250 * time.Millisecond, 16
 	t := time.NewTicker(period)
 	defer t.Stop()
 	for n := 0; ; n++ {
