--- /dev/null
+++ b/internal/command/explain.go
@@ -0,0 +1,51 @@
+package command
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"fescuerill/internal/observe/explain"
+)
+
+func newExplain() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain ID FILE...",
+		Short: "Gather from the logs of hosts what became of a request, and why",
+		Long: `Gather from the logs of hosts what became of a request, and why.
+
+Lines about the request are marked with >. The others say what the same host
+believed in the ten seconds before: changes of the targets that the request was
+sent to, of the manifest and of other hosts, and whether the store answered.`,
+		Args: cobra.MinimumNArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			var logs []explain.Log
+			for _, name := range args[1:] {
+				f, err := os.Open(name)
+				if err != nil {
+					return errors.Wrap(err, "log")
+				}
+				defer func() { _ = f.Close() }()
+				logs = append(logs, explain.Log{Name: filepath.Base(name), Reader: f})
+			}
+			lines, err := explain.Request(args[0], logs)
+			if err != nil {
+				return err
+			}
+			if len(lines) == 0 {
+				return errors.Errorf("no line about request %s", args[0])
+			}
+			for _, l := range lines {
+				mark := " "
+				if l.Request {
+					mark = ">"
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%s %s %s\n", mark, l.Source, l.Text)
+			}
+			return nil
+		},
+	}
+}
--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -17,8 +17,9 @@
 
 func newHost() *cobra.Command {
 	var file string
+	var check bool
 	c := &cobra.Command{
-		Use:   "host [--settings FILE]",
+		Use:   "host [--settings FILE] [--check]",
 		Short: "Run a host on the operators' platform",
 		Long: `Run a host on the operators' platform until it is told to stop.
 
@@ -31,9 +32,14 @@
 			if file == "" {
 				file = platform.SettingsFile()
 			}
+			if check {
+				_, _, err := platform.ReadSettings(file)
+				return err
+			}
 			return runHost(c, file)
 		},
 	}
+	c.Flags().BoolVar(&check, "check", false, "only check the settings file and report everything that is wrong with it")
 	c.Flags().StringVar(&file, "settings", "", "settings file of the platform; without it the one named by the environment")
 	return c
 }
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -40,7 +40,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newServe(), newHost(), newQuery(), newSettings(), newDataCentre(), newTarget(), newStatus(), newBench(), newDemo(), newVersion())
+	root.AddCommand(newServe(), newHost(), newExplain(), newQuery(), newSettings(), newDataCentre(), newTarget(), newStatus(), newBench(), newDemo(), newVersion())
 	return root
 }
 
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -143,11 +144,15 @@
 	size := g.fleet.Size()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	var dropped []string
 	for _, id := range g.catalog.Expire(now, nil) {
-		g.log.Info("target dropped", "target", id, "reason", "not-back-after-trouble")
+		dropped = append(dropped, id+":not-back")
 		g.pool.Drop(id)
 		g.board.Forget(id)
 	}
+	if len(dropped) > 0 {
+		g.log.Info("targets", "changes", strings.Join(dropped, " "), "known", g.catalog.Len(), "reason", "not-back-after-trouble")
+	}
 	for _, w := range g.windows {
 		w.SetAllowance(g.bounds.RetryAllowance * budgetShare / float64(size))
 	}
