Ask targets in other data centres through a host there

Change: first sends of a search to targets of one data centre go to a live host there in one message (jsonrpc2, schema relay); it sends them and returns what is in after two usual latencies, merged, and later parts one by one. Decisions stay with the host that serves the caller; hedges and retries go directly.

--- a/internal/schema/schema.go
+++ b/internal/schema/schema.go
@@ -13,6 +13,7 @@
 //go:generate go run github.com/atombender/go-jsonschema@v0.24.1 --only-models --struct-name-from-title --tags json --capitalization ID -p peer -o peer/peer.gen.go peer/peer.yaml
 //go:generate go run github.com/atombender/go-jsonschema@v0.24.1 --only-models --struct-name-from-title --tags json --capitalization ID -p platform -o platform/platform.gen.go platform/platform.yaml
 //go:generate go run github.com/atombender/go-jsonschema@v0.24.1 --only-models --struct-name-from-title --tags json --capitalization ID -p fleet -o fleet/fleet.gen.go fleet/fleet.yaml
+//go:generate go run github.com/atombender/go-jsonschema@v0.24.1 --only-models --struct-name-from-title --tags json --capitalization ID -p relay -o relay/relay.gen.go relay/relay.yaml
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file peer -o peer/peer.msgp.gen.go -tests=false -marshal=true -io=false
 
--- a/internal/serving/copies/board.go
+++ b/internal/serving/copies/board.go
@@ -126,6 +126,14 @@
 	return b.Copy(id).end(now, token, result, usual)
 }
 
+// EndAfter is End for a request whose answer is known to have taken a time at the
+// copy, and was on its way for longer.
+func (b *Board) EndAfter(now time.Time, id string, token uint64, result Result, usual, took time.Duration) {
+	c := b.Copy(id)
+	c.drop(now, token)
+	c.judge(now, result, usual, took)
+}
+
 // Expire forgets copies that have not been used for long.
 func (b *Board) Expire(now time.Time) {
 	for id, c := range b.copies {
--- a/internal/serving/copies/copy.go
+++ b/internal/serving/copies/copy.go
@@ -131,14 +131,24 @@
 // end takes the result of a request and returns how long it took; usual is the
 // time that such a request usually takes.
 func (c *Copy) end(now time.Time, token uint64, result Result, usual time.Duration) time.Duration {
-	took := time.Duration(0)
+	took := c.drop(now, token)
+	c.judge(now, result, usual, took)
+	return took
+}
+
+// drop forgets a request under way and returns how long ago it was sent.
+func (c *Copy) drop(now time.Time, token uint64) time.Duration {
 	for i, s := range c.underWay {
 		if s.token == token {
-			took = now.Sub(s.at)
 			c.underWay = append(c.underWay[:i], c.underWay[i+1:]...)
-			break
+			return now.Sub(s.at)
 		}
 	}
+	return 0
+}
+
+// judge learns from how a request ended that took a time.
+func (c *Copy) judge(now time.Time, result Result, usual, took time.Duration) {
 	c.trial = false
 	switch result {
 	case Answered:
@@ -166,7 +176,6 @@
 			c.learn(now, max(c.Pace(now), float64(took)/float64(max(usual, time.Millisecond))))
 		}
 	}
-	return took
 }
 
 // learn takes how many times longer than usual an answer took. One slow answer
--- a/internal/serving/gateway/bounds.go
+++ b/internal/serving/gateway/bounds.go
@@ -48,6 +48,13 @@
 	// returnShare is the part of a route's time below which the patience of a
 	// caller shows that it was refused before.
 	returnShare = 0.85
+	// relayLeast is the number of parts from which they go through a host of
+	// their data centre.
+	relayLeast = 2
+	// relayFlush and relayFlushLeast are when the parts that are in come back
+	// together, in usual latencies and at least.
+	relayFlush      = 2
+	relayFlushLeast = 6 * time.Millisecond
 	// connectionShare is the part of a target's connections that the hosts use.
 	connectionShare = 0.7
 	// budgetShare is the part of the retry allowance that the hosts use, so that
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"fescuerill/internal/serving/copies"
 	"fescuerill/internal/serving/exchange"
 	"fescuerill/internal/serving/latency"
+	"fescuerill/internal/serving/relay"
 	"fescuerill/internal/tally"
 )
 
@@ -45,6 +46,9 @@
 	Size() int
 	// Rank returns how many live hosts come before this one for something.
 	Rank(something string) int
+	// Relays appends to dst where the live hosts of another data centre take
+	// parts.
+	Relays(dst []string, dataCentre string) []string
 }
 
 // Gateway serves requests. New makes one. Its methods may be called from several
@@ -56,6 +60,7 @@
 	log        *slog.Logger
 	tally      *tally.Tally
 	pool       exchange.Pool
+	links      relay.Links
 	latencies  latency.Groups
 	manifest   atomic.Pointer[manifest.Manifest]
 	running    atomic.Int64
@@ -87,12 +92,14 @@
 	Tally      *tally.Tally
 }
 
-// New returns a gateway that knows no manifest yet.
-func New(o Options) *Gateway {
+// New returns a gateway that knows no manifest yet. Its connections to other hosts
+// end with ctx.
+func New(ctx context.Context, o Options) *Gateway {
 	g := &Gateway{
 		dataCentre: o.DataCentre, fleet: o.Fleet, decoder: o.Decoder, log: o.Log, tally: o.Tally,
 		bounds: o.Bounds, random: o.Random, windows: map[string]*budget.Window{}, cold: map[string]time.Time{},
 	}
+	g.links.Reset(ctx, o.Log)
 	g.limiter.Reset(searchesMost, cutPeriod)
 	g.pool.Reset(o.Dial, o.Dialect, func() { g.tally.Add("target-connections-opened", 1) })
 	return g
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -33,7 +33,8 @@
 	ask     exchange.Ask
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
-	ended   chan ended
+	// ended delivers ends of sends. Several that come together are merged.
+	ended   chan []ended
 	replies []exchange.Reply
 	last    *exchange.Reply
 	trail   []step
@@ -101,7 +102,7 @@
 	}
 	r.chooser.usual, r.chooser.settle = r.usual, r.plan.Settle
 	r.replies = make([]exchange.Reply, r.plan.Parts)
-	r.ended = make(chan ended, r.plan.Parts*(r.plan.Attempts+4))
+	r.ended = make(chan []ended, r.plan.Parts*(r.plan.Attempts+4))
 	r.ask = exchange.Ask{ID: q.ID, Method: q.Method, URI: q.URI, Host: q.Host, Header: q.Header, Body: q.Body}
 	r.ctx, r.cancel = context.WithCancelCause(context.Background())
 	return r
@@ -175,18 +176,35 @@
 
 // begin starts sends. The gateway is locked.
 func (r *run) begin(now time.Time, sends []search.Send) {
+	far := map[string][]search.Send{}
 	for _, s := range sends {
-		k := r.g.catalog.Get(s.Target)
-		t := exchange.Target{ID: k.ID, Address: k.Address}
-		token := r.g.board.Begin(now, s.Target, r.usual)
 		if s.Reason != search.First {
 			r.unusual = true
 			r.g.tally.Add("sends-"+s.Reason.String(), 1)
 		}
-		go r.send(s, t, token)
+		if k := r.g.catalog.Get(s.Target); r.relayed(now, s, k) {
+			far[k.DataCentre] = append(far[k.DataCentre], s)
+			continue
+		}
+		r.direct(now, s)
+	}
+	for dataCentre, list := range far {
+		if len(list) >= relayLeast && r.through(now, dataCentre, list) {
+			continue
+		}
+		for _, s := range list {
+			r.direct(now, s)
+		}
 	}
 }
 
+// direct sends a part from this host.
+func (r *run) direct(now time.Time, s search.Send) {
+	k := r.g.catalog.Get(s.Target)
+	token := r.g.board.Begin(now, s.Target, r.usual)
+	go r.send(s, exchange.Target{ID: k.ID, Address: k.Address}, token)
+}
+
 func (r *run) send(s search.Send, t exchange.Target, token uint64) {
 	g := r.g
 	reply := g.pool.Do(r.ctx, t, &r.ask, func() time.Duration { return r.rest(s.Target) })
@@ -200,7 +218,7 @@
 	} else {
 		g.tally.Add("sends-ended-"+reply.Reason, 1)
 	}
-	r.ended <- ended{send: s, reply: reply, took: took}
+	r.ended <- []ended{{send: s, reply: reply, took: took}}
 }
 
 // rest returns the time left for a send that is about to be written, or 0 if it
@@ -247,26 +265,34 @@
 	return copies.Lost
 }
 
-func (r *run) took(e ended) (search.Verdict, time.Time) {
+func (r *run) took(together []ended) (search.Verdict, time.Time) {
 	g := r.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
 	r.chooser.now = now
-	outcome := r.judge(&e.reply)
-	sends, use := r.search.Ended(now, &r.chooser, e.send, outcome, nil)
+	for i := range together {
+		r.end(now, &together[i], len(together) > 1)
+	}
 	if r.half.IsZero() && 2*r.search.Covered() >= r.plan.Parts {
 		r.half = now
 	}
-	if use {
+	return r.search.Verdict(now), r.search.Next(now)
+}
+
+// end takes the end of a send. The records of parts that came merged cannot be
+// told apart, so that they replace an answer that a part had before.
+func (r *run) end(now time.Time, e *ended, merged bool) {
+	outcome := r.judge(&e.reply)
+	sends, use := r.search.Ended(now, &r.chooser, e.send, outcome, nil)
+	if use || merged && outcome == search.Good {
 		r.replies[e.send.Part] = e.reply
 	}
 	if outcome != search.Good {
 		r.unusual = true
 	}
-	r.note(e)
+	r.note(*e)
 	r.begin(now, sends)
-	return r.search.Verdict(now), r.search.Next(now)
 }
 
 // judge returns the outcome of a reply for the route. A target's own refusal of
--- a/internal/serving/station/settings.go
+++ b/internal/serving/station/settings.go
@@ -19,6 +19,9 @@
 	// that may be up.
 	Peer  string
 	Seeds []string
+	// Relay is where other hosts send parts for targets near this one; empty if
+	// they do not.
+	Relay string
 	// Metrics is where counters are served.
 	Metrics string
 	// MemoryBytes is the memory that the process may use.
--- a/internal/serving/station/station.go
+++ b/internal/serving/station/station.go
@@ -22,6 +22,7 @@
 	"fescuerill/internal/invariant"
 	"fescuerill/internal/serving/exchange"
 	"fescuerill/internal/serving/gateway"
+	"fescuerill/internal/serving/relay"
 	"fescuerill/internal/tally"
 )
 
@@ -123,11 +124,18 @@
 		Incarnation: strconv.FormatUint(rand.Uint64(), 36),
 	}
 	s.peers = peers.Start(ctx, self, datagrams, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), s.log, s.tally)
-	s.gateway = gateway.New(gateway.Options{
-		DataCentre: s.settings.DataCentre, Fleet: s.peers, Decoder: s.platform, Dialect: s.platform,
+	s.gateway = gateway.New(ctx, gateway.Options{
+		DataCentre: s.settings.DataCentre, Fleet: s.view(), Decoder: s.platform, Dialect: s.platform,
 		Dial: exchange.DialTCP, Bounds: s.settings.Bounds,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: s.log, Tally: s.tally,
 	})
+	if s.settings.Relay != "" {
+		parts, err := lc.Listen(ctx, "tcp", s.settings.Relay)
+		if err != nil {
+			return errors.Wrap(err, "relay address")
+		}
+		s.done.Go(func() { relay.Serve(ctx, parts, s.gateway.Forward, s.log) })
+	}
 	s.feed.Reset(s.platform, s.peers, s.gateway, s.log, s.tally)
 	s.done.Go(func() { s.peers.Serve(ctx, calls, &s.feed) })
 	s.peers.Greet(s.settings.Seeds)
@@ -137,6 +145,36 @@
 	return s.listen(ctx)
 }
 
+// view returns the fleet as the gateway sees it.
+func (s *Station) view() gateway.Fleet {
+	_, port, err := net.SplitHostPort(s.settings.Relay)
+	if err != nil {
+		return fleet{Peers: s.peers}
+	}
+	return fleet{Peers: s.peers, relayPort: port}
+}
+
+// fleet is the other hosts, with where they take parts. The ports are the same on
+// all hosts.
+type fleet struct {
+	*peers.Peers
+	relayPort string
+}
+
+// Relays implements gateway.Fleet.
+func (f fleet) Relays(dst []string, dataCentre string) []string {
+	if f.relayPort == "" {
+		return dst
+	}
+	f.Each(func(h peers.Host) {
+		ip, _, err := net.SplitHostPort(h.Address)
+		if err == nil && h.State == host.Alive && h.DataCentre == dataCentre {
+			dst = append(dst, net.JoinHostPort(ip, f.relayPort))
+		}
+	})
+	return dst
+}
+
 func (s *Station) listen(ctx context.Context) error {
 	s.front = &http.Server{
 		Handler:           s.platform.Front(s),
