--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -28,6 +28,7 @@
 	// firstSize is the size of the fleet that is assumed until it is known, for
 	// at most firstTime.
 	firstSize = 12
+	firstNear = 4
 	firstTime = 3 * time.Second
 )
 
@@ -171,6 +172,23 @@
 	return n
 }
 
+// Near returns the number of live hosts in the data centre of this one, which
+// counts. Until the fleet is known it is taken for larger.
+func (p *Peers) Near() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 1
+	p.members.Each(func(news host.News) {
+		if news.State != host.Dead && p.centres[news.ID] == p.self.DataCentre {
+			n++
+		}
+	})
+	if !p.listed && time.Since(p.began) < firstTime {
+		n = max(n, firstNear)
+	}
+	return n
+}
+
 // Listed takes that all hosts with a record in the store have been met.
 func (p *Peers) Listed() {
 	p.mu.Lock()
--- a/internal/serving/gateway/bounds.go
+++ b/internal/serving/gateway/bounds.go
@@ -55,8 +55,10 @@
 	// together, in usual latencies and at least.
 	relayFlush      = 2
 	relayFlushLeast = 6 * time.Millisecond
-	// connectionShare is the part of a target's connections that the hosts use.
-	connectionShare = 0.7
+	// nearShare and farShare are the parts of a target's connections that the hosts
+	// of its data centre and all hosts use.
+	nearShare = 0.45
+	farShare  = 0.3
 	// budgetShare is the part of the retry allowance that the hosts use, so that
 	// they stay within it when all of them restart.
 	budgetShare = 0.5
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -44,6 +44,9 @@
 	// Size returns the number of hosts, with this one and those that died
 	// lately.
 	Size() int
+	// Near returns the number of live hosts in the data centre of this one, which
+	// counts.
+	Near() int
 	// Rank returns how many live hosts come before this one for something.
 	Rank(something string) int
 	// Relays appends to dst where the live hosts of another data centre take
@@ -172,7 +175,9 @@
 	}
 }
 
-// connections returns how many connections this host may have to a target.
+// connections returns how many connections this host may have to a target. Hosts in
+// the target's data centre have most of them, since parts of others go through
+// them.
 func (g *Gateway) connections(k *catalog.Known, size int) int {
 	m := g.manifest.Load()
 	if m == nil {
@@ -182,7 +187,10 @@
 	if s == nil || s.Connections <= 0 {
 		return 1
 	}
-	return max(1, int(connectionShare*float64(s.Connections))/size)
+	if k.DataCentre == g.dataCentre {
+		return max(1, int(nearShare*float64(s.Connections))/g.fleet.Near())
+	}
+	return max(1, int(farShare*float64(s.Connections))/size)
 }
 
 // window returns the retry budget of a service.
