Tell other hosts only what changed; small data centres share a guide

Change: an item carries a mark that heartbeats leave as it is, and hosts are told of it when its mark changes; data centres of fewer than four live hosts share a guide; a guide more than 1.6 s behind is not believed.

--- a/internal/fleet/feed/cursor.go
+++ b/internal/fleet/feed/cursor.go
@@ -15,7 +15,9 @@
 	troubleAfter = 2
 	// staleAfter is the age from which what another host knows is not good
 	// enough for one that could read the store.
-	staleAfter = 2500 * time.Millisecond
+	staleAfter = 1600 * time.Millisecond
+	// distrustFor is how long a host that was behind is not asked.
+	distrustFor = 2500 * time.Millisecond
 )
 
 // Action is what a Cursor does next.
@@ -107,7 +109,7 @@
 		return
 	}
 	if age > staleAfter {
-		c.distrust = now.Add(staleAfter)
+		c.distrust = now.Add(distrustFor)
 		c.next = now
 		return
 	}
@@ -117,7 +119,7 @@
 // Untold takes that another host could not be asked.
 func (c *Cursor) Untold(now time.Time) {
 	if c.failures == 0 {
-		c.distrust = now.Add(staleAfter)
+		c.distrust = now.Add(distrustFor)
 		c.next = now
 	}
 }
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -32,6 +32,12 @@
 	Value    []byte
 	Revision int64
 	Gone     bool
+	// Mark is the same for values of a key that say the same but for heartbeats;
+	// empty if each value is news. Other hosts are told of an item only when its
+	// mark changes.
+	Mark string
+	// told is the revision at which the mark changed.
+	told int64
 }
 
 // Source is the platform's store.
@@ -246,6 +252,10 @@
 			f.remember(i)
 			continue
 		}
+		i.told = i.Revision
+		if old, ok := f.items[i.Key]; ok && i.Mark != "" && i.Mark == old.Mark {
+			i.told = old.told
+		}
 		f.items[i.Key] = i
 	}
 	return news
@@ -290,7 +300,7 @@
 		Age: now.Sub(f.cursor.Heard()), Trouble: f.cursor.Trouble(),
 	}
 	for _, i := range f.items {
-		if t.Whole || i.Revision > after {
+		if t.Whole || i.told > after {
 			t.Items = append(t.Items, i)
 		}
 	}
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -26,11 +26,13 @@
 	calls    int
 }
 
-func (s *store) write(key, value string) {
+func (s *store) write(key, value string) { s.mark(key, value, "") }
+
+func (s *store) mark(key, value, mark string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	i := feed.Item{Key: key, Value: []byte(value), Revision: s.revision, Gone: value == ""}
+	i := feed.Item{Key: key, Value: []byte(value), Revision: s.revision, Gone: value == "", Mark: mark}
 	s.history = append(s.history, i)
 	if i.Gone {
 		delete(s.items, key)
@@ -208,3 +210,25 @@
 		assert.LessOrEqual(t, mine.calls, 1, "the first listing")
 	})
 }
+
+func TestHeartbeatsAreNotTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &store{items: map[string]feed.Item{}}
+		s.mark("a", "beat 1", "ready")
+		s.mark("b", "beat 1", "ready")
+		r := follow(ctx, s, &neighbour{})
+		time.Sleep(10 * time.Millisecond)
+		s.mark("a", "beat 2", "ready")
+		s.mark("b", "beat 2", "leaving")
+		time.Sleep(1100 * time.Millisecond)
+		told, ok := r.Tell(time.Now(), 2, false)
+		assert.True(t, ok)
+		assert.Equal(t, int64(4), told.Revision)
+		assert.Len(t, told.Items, 1)
+		assert.Equal(t, "b", told.Items[0].Key)
+		whole, _ := r.Tell(time.Now(), 0, true)
+		assert.Len(t, whole.Items, 2)
+	})
+}
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -136,17 +136,26 @@
 	assert.False(t, lonely.Any())
 }
 
-func TestOneHostOfADataCentreGuidesTheOthers(t *testing.T) {
-	all := fleet(t, 6)
-	require.Eventually(t, func() bool {
-		guides := 0
-		for _, m := range all {
-			if !m.Guide() {
-				guides++
-			}
-		}
-		return guides == 2
-	}, 5*time.Second, 10*time.Millisecond)
+func TestHostsShareAGuide(t *testing.T) {
+	tests := map[string]struct{ hosts, guides int }{
+		"small data centres together":      {6, 1},
+		"each of two larger data centres":  {8, 2},
+		"one larger and one that is small": {7, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			all := fleet(t, test.hosts)
+			require.Eventually(t, func() bool {
+				guides := 0
+				for _, m := range all {
+					if !m.Guide() {
+						guides++
+					}
+				}
+				return guides == test.guides
+			}, 5*time.Second, 10*time.Millisecond)
+		})
+	}
 }
 
 func TestAssumesAFleetUntilItIsKnown(t *testing.T) {
--- a/internal/fleet/peers/tell.go
+++ b/internal/fleet/peers/tell.go
@@ -18,6 +18,10 @@
 
 const methodItems = "store/items"
 
+// guidedLeast is the number of live hosts from which a data centre has a host of its
+// own that reads the store for the others.
+const guidedLeast = 4
+
 // errNobody is returned when there is no other host to ask.
 var errNobody = errors.New("no other host")
 
@@ -109,14 +113,27 @@
 	return ok
 }
 
-// guide returns the host that reads the store for this data centre, if it is
-// another one.
+// guide returns the host that reads the store for this one, if it is another one.
+// A data centre with enough hosts has a guide of its own, the others share one.
 func (p *Peers) guide() (string, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	sizes := map[string]int{p.self.DataCentre: 1}
+	p.members.Each(func(n host.News) {
+		if n.State == host.Alive {
+			sizes[p.centres[n.ID]]++
+		}
+	})
+	group := func(dataCentre string) string {
+		if sizes[dataCentre] >= guidedLeast {
+			return dataCentre
+		}
+		return ""
+	}
+	mine := group(p.self.DataCentre)
 	best := p.self.Address
 	p.members.Each(func(n host.News) {
-		if n.State == host.Alive && p.centres[n.ID] == p.self.DataCentre && owner.Weight(p.self.DataCentre, n.ID) > owner.Weight(p.self.DataCentre, best) {
+		if n.State == host.Alive && group(p.centres[n.ID]) == mine && owner.Weight(mine, n.ID) > owner.Weight(mine, best) {
 			best = n.ID
 		}
 	})
