Probes end with the host that made them; a stopped host has no goroutines left

Cause: with the race detector a probe's timer logged after the host of a test had stopped.

Change: timers of probes do nothing once the host has stopped; Stop waits for its duties.

Measured: platform and peers tests with the race detector, twice, pass.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -51,6 +51,7 @@
 // Peers follows the other hosts. Start makes one. Its methods may be called
 // from several goroutines.
 type Peers struct {
+	ctx   context.Context
 	self  Self
 	log   *slog.Logger
 	tally *tally.Tally
@@ -78,7 +79,7 @@
 // Start follows other hosts over the datagram socket until ctx ends.
 func Start(ctx context.Context, self Self, conn net.PacketConn, random *rand.Rand, log *slog.Logger, t *tally.Tally) *Peers {
 	p := &Peers{
-		self: self, conn: conn, log: log, tally: t,
+		ctx: ctx, self: self, conn: conn, log: log, tally: t,
 		centres: map[string]string{}, greeted: map[string]time.Time{}, gone: map[string]time.Time{}, pending: map[int]probe{},
 		began: time.Now(),
 	}
@@ -265,7 +266,7 @@
 		helpers = p.members.Random(nil, host.Helpers, about)
 	}
 	p.mu.Unlock()
-	if !open {
+	if !open || p.ctx.Err() != nil {
 		return
 	}
 	for _, h := range helpers {
@@ -277,7 +278,7 @@
 func (p *Peers) failed(mine int, about, asker string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, open := p.pending[mine]; !open {
+	if _, open := p.pending[mine]; !open || p.ctx.Err() != nil {
 		return
 	}
 	delete(p.pending, mine)
--- a/internal/serving/relay/links.go
+++ b/internal/serving/relay/links.go
@@ -58,12 +58,12 @@
 	log     *slog.Logger
 	out     ring.Ring[message]
 
-	mu      sync.Mutex
-	conn    *jsonrpc2.Conn
-	rest    time.Time
-	dialing bool
-	number  int
-	open    map[int]*pending
+	mu         sync.Mutex
+	conn       *jsonrpc2.Conn
+	rest       time.Time
+	connecting bool
+	number     int
+	open       map[int]*pending
 }
 
 type message struct {
@@ -84,8 +84,8 @@
 	l.mu.Unlock()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.conn == nil && !k.dialing && time.Now().After(k.rest) {
-		k.dialing = true
+	if k.conn == nil && !k.connecting && time.Now().After(k.rest) {
+		k.connecting = true
 		go k.connect(l.ctx)
 	}
 	return k.conn != nil && time.Now().After(k.rest)
@@ -167,7 +167,7 @@
 	raw, err := d.DialContext(ctx, "tcp", k.address)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.dialing = false
+	k.connecting = false
 	if err != nil {
 		k.rest = time.Now().Add(restTime)
 		k.log.Debug("host not reached for parts", "host", k.address, "error", err)
--- a/internal/serving/station/station.go
+++ b/internal/serving/station/station.go
@@ -315,6 +315,7 @@
 	err := s.front.Shutdown(finish)
 	s.log.Info("stopped", "took-ms", time.Since(began).Milliseconds(), "unfinished", s.gateway.Running(), "error", err)
 	s.cancel()
+	s.done.Wait()
 }
 
 // metrics serves the counters as text.
