Ask cold targets that have no bound; rights to those that have one as a decision

Cause: right after the index was cut into other shards all copies were new, and 44 searches in two seconds were refused, though the manifest states no bound for cold targets (rate 0).

--- a/internal/serving/copies/board.go
+++ b/internal/serving/copies/board.go
@@ -22,6 +22,8 @@
 	failureCost = 16
 	// farCost is what a copy in another data centre costs, in usual latencies.
 	farCost = 3
+	// freshCost is what a copy costs that has just started, in usual latencies.
+	freshCost = 2
 	// forgetAfter is how long a copy that is not used is remembered.
 	forgetAfter = time.Minute
 )
@@ -35,8 +37,10 @@
 	Near bool
 	// Full says that all connections of this host to it are taken.
 	Full bool
-	// Cold says that it has just started and bears little.
-	Cold bool
+	// Fresh says that it has just started and is slower than usual, Cold that it
+	// also bears little.
+	Fresh bool
+	Cold  bool
 }
 
 // Board holds the memory of all copies. The zero value is ready. It is not safe
@@ -96,6 +100,9 @@
 	if a.Full {
 		cost += overdueCost
 	}
+	if a.Fresh {
+		cost += freshCost
+	}
 	if a.Cold {
 		cost += restCost
 	}
--- a/internal/serving/copies/board_test.go
+++ b/internal/serving/copies/board_test.go
@@ -38,6 +38,16 @@
 	}
 }
 
+func TestPrefersCopiesThatHaveRunForAWhile(t *testing.T) {
+	var b copies.Board
+	near := pair()
+	near[0].Fresh, near[0].Near, near[1].Near = true, true, true
+	assert.Equal(t, 1, b.Choose(at(0), near, source()))
+	assert.Equal(t, 0, b.Choose(at(0), near[:1], source()), "one that has just started is better than none")
+	near[1].Cold = true
+	assert.Equal(t, 0, b.Choose(at(0), near, source()))
+}
+
 func TestAvoidsACopyWhoseAnswerIsOverdue(t *testing.T) {
 	var b copies.Board
 	token := b.Begin(at(0), "near", usual)
--- a/internal/serving/gateway/choose.go
+++ b/internal/serving/gateway/choose.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"fescuerill/internal/routing/catalog"
 	"fescuerill/internal/serving/copies"
 	"fescuerill/internal/serving/search"
 )
@@ -47,7 +46,7 @@
 	g := c.g
 	known := g.catalog.Service(c.services[part])
 	candidates := make([]copies.Candidate, 0, len(known))
-	warm := false
+	warm, bounded := false, g.coldRate(c.services[part]) > 0
 	for _, k := range known {
 		if !g.catalog.Usable(k) {
 			continue
@@ -55,7 +54,8 @@
 		cold := c.now.Before(k.ColdUntil)
 		warm = warm || !cold
 		candidates = append(candidates, copies.Candidate{
-			ID: k.ID, Slots: k.Slots, Near: k.DataCentre == g.dataCentre, Full: g.pool.Full(k.ID), Cold: cold,
+			ID: k.ID, Slots: k.Slots, Near: k.DataCentre == g.dataCentre, Full: g.pool.Full(k.ID),
+			Fresh: cold, Cold: cold && bounded,
 		})
 	}
 	return c.admit(candidates, warm)
@@ -68,7 +68,7 @@
 	}
 	a := candidates[i]
 	if a.Cold {
-		c.g.cold[a.ID] = c.now
+		c.g.cold.Take(c.now, a.ID)
 	}
 	late := !c.settle.IsZero() && c.now.Add(c.g.board.Expected(c.now, a, c.usual)).After(c.settle)
 	return search.Choice{Target: a.ID, Late: late}, true
@@ -83,31 +83,23 @@
 }
 
 // mayWarm reports whether this host may send a request to a cold target now.
-// Each second as many hosts as the target bears requests may send it one: those
-// that come first for it among the live hosts, so that hosts which see a
-// slightly different fleet stay within the slack.
 func (g *Gateway) mayWarm(now time.Time, id string) bool {
 	k := g.catalog.Get(id)
-	if k == nil || now.Sub(g.cold[id]) < coldPause {
+	if k == nil {
 		return false
 	}
-	return g.fleet.Rank(id) < g.coldHosts(k)
+	bears := g.coldRate(k.Service)*g.bounds.ColdFactor + g.bounds.ColdAllowance
+	return g.cold.May(now, id, g.fleet.Rank(id), bears)
 }
 
-const (
-	// coldPause is the time between two requests of one host to a cold target.
-	coldPause = 1100 * time.Millisecond
-	// coldShare is the part of what a cold target bears that the hosts use.
-	coldShare = 0.5
-)
-
-// coldHosts returns how many hosts may each send a request a second.
-func (g *Gateway) coldHosts(k *catalog.Known) int {
-	rate := 0.0
-	if m := g.manifest.Load(); m != nil && m.Service(k.Service) != nil {
-		rate = m.Service(k.Service).ColdRate
+// coldRate returns the number of requests a second that a cold target of a service
+// bears, or 0 if the manifest gives no bound: then a cold target is only slower.
+func (g *Gateway) coldRate(service string) float64 {
+	m := g.manifest.Load()
+	if m == nil || m.Service(service) == nil {
+		return 0
 	}
-	return int(coldShare * (rate*g.bounds.ColdFactor + g.bounds.ColdAllowance))
+	return m.Service(service).ColdRate
 }
 
 // Extra implements search.Chooser.
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -74,7 +74,7 @@
 	board    copies.Board
 	splitter manifest.Splitter
 	windows  map[string]*budget.Window
-	cold     map[string]time.Time
+	cold     copies.ColdRights
 	random   *rand.Rand
 	listed   bool
 	limiter  admission.Limiter
@@ -100,7 +100,7 @@
 func New(ctx context.Context, o Options) *Gateway {
 	g := &Gateway{
 		dataCentre: o.DataCentre, fleet: o.Fleet, decoder: o.Decoder, log: o.Log, tally: o.Tally,
-		bounds: o.Bounds, random: o.Random, windows: map[string]*budget.Window{}, cold: map[string]time.Time{},
+		bounds: o.Bounds, random: o.Random, windows: map[string]*budget.Window{},
 	}
 	g.links.Reset(ctx, o.Log)
 	g.limiter.Reset(searchesMost, cutPeriod)
@@ -168,11 +168,7 @@
 	}
 	g.board.Expire(now)
 	g.catalog.Each(func(k *catalog.Known) { g.pool.SetMost(k.ID, g.connections(k, size)) })
-	for id, at := range g.cold {
-		if now.Sub(at) > time.Minute {
-			delete(g.cold, id)
-		}
-	}
+	g.cold.Expire(now)
 }
 
 // connections returns how many connections this host may have to a target. Hosts in
