Send callers of a data centre that is cut off to hosts elsewhere

Cause: a data centre that was cut off from the others went on naming its own hosts, which covered too few shards: a quarter of its callers' requests failed.

Change: while most searches fail, hosts elsewhere are probed out of turn; if none is heard, callers are told of those with a fresh record in the store or, if the store is not reached either, of those heard before.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -99,6 +99,22 @@
 	}
 }
 
+// CheckElsewhere probes live hosts of other data centres now, at most a number of
+// them, rather than in their turn.
+func (p *Peers) CheckElsewhere(most int) {
+	p.mu.Lock()
+	var all []string
+	p.members.Each(func(n host.News) {
+		if n.State == host.Alive && p.centres[n.ID] != p.self.DataCentre && len(all) < most {
+			all = append(all, n.ID)
+		}
+	})
+	p.mu.Unlock()
+	for _, a := range all {
+		p.probe(a, "", 0)
+	}
+}
+
 // Met takes what the store says of a host.
 func (p *Peers) Met(h Host) {
 	p.mu.Lock()
--- a/internal/serving/gateway/bounds.go
+++ b/internal/serving/gateway/bounds.go
@@ -48,6 +48,11 @@
 	// returnShare is the part of a route's time below which the patience of a
 	// caller shows that it was refused before.
 	returnShare = 0.85
+	// servedGain is the weight of a search in the share of those answered, ableShare
+	// that share below which a host is not able, and ableAfter how long it counts.
+	servedGain = 0.1
+	ableShare  = 0.5
+	ableAfter  = 5 * time.Second
 	// relayLeast is the number of parts from which they go through a host of
 	// their data centre.
 	relayLeast = 2
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -78,6 +78,10 @@
 	random   *rand.Rand
 	listed   bool
 	limiter  admission.Limiter
+	// served is the share of the last searches that were answered, and servedAt when
+	// the last one ended.
+	served   float64
+	servedAt time.Time
 	// news says which targets changed, for the log.
 	news []string
 }
@@ -129,6 +133,25 @@
 	return g.listed && g.manifest.Load() != nil
 }
 
+// Able reports whether most of the last searches were answered.
+func (g *Gateway) Able() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Since(g.servedAt) > ableAfter || g.served >= ableShare
+}
+
+// ended notes whether a search was answered. The gateway is locked.
+func (g *Gateway) ended(now time.Time, answered bool) {
+	if now.Sub(g.servedAt) > ableAfter {
+		g.served = 1
+	}
+	g.served *= 1 - servedGain
+	if answered {
+		g.served += servedGain
+	}
+	g.servedAt = now
+}
+
 // Running returns the number of requests under way.
 func (g *Gateway) Running() int { return int(g.running.Load()) }
 
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -330,6 +330,11 @@
 // connections can be kept.
 func (r *run) finish(a Answer) {
 	time.AfterFunc(strayTime, func() { r.cancel(errStray) })
+	if r.route.Search() {
+		r.g.mu.Lock()
+		r.g.ended(time.Now(), a.Kind == Merged)
+		r.g.mu.Unlock()
+	}
 	r.g.tally.Add("answers-"+a.Kind.String(), 1)
 	r.g.tally.Sample("answer-us-"+a.Kind.String(), time.Since(r.request.Arrived).Microseconds())
 	if r.unusual || a.Kind != Served && (a.Kind != Merged || a.Missing > 0) {
--- a/internal/serving/station/station.go
+++ b/internal/serving/station/station.go
@@ -47,7 +47,13 @@
 	// stopStep is how often a leaving host looks whether it may end.
 	stopStep = 50 * time.Millisecond
 	// recordEach is how often the host looks after its record in the store.
-	recordEach = 4 * time.Second
+	recordEach = 1500 * time.Millisecond
+	// checkEach and checkMost are how often and how many hosts of other data centres
+	// are probed out of turn while most searches fail.
+	checkEach = time.Second
+	checkMost = 32
+	// recordsValid is for how long the records of other hosts are relied on.
+	recordsValid = 2 * time.Second
 	// directoryTimeout bounds small requests about the host itself.
 	directoryTimeout = 2 * time.Second
 )
@@ -88,6 +94,13 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
+	cut    directory.Cut
+	// recorded are the hosts with a record in the store, as of recordedAt; they are
+	// read again while the data centre is cut off.
+	recorded   []peers.Host
+	recordedAt time.Time
+	// checked is when the hosts elsewhere were last probed out of turn.
+	checked time.Time
 }
 
 // Start starts all duties of a host.
@@ -227,17 +240,9 @@
 			s.tally.Add("record-failures", 1)
 			s.log.Debug("record not kept", "error", err)
 		}
-		if !met {
-			hosts, err := s.platform.Hosts(ctx)
-			met = err == nil
-			for _, h := range hosts {
-				s.peers.Met(h)
-			}
+		if cut := s.cutOff(); cut || !met {
+			met = s.meet(ctx) || met
 			wait = time.Second
-			if met {
-				s.peers.Listed()
-				wait = recordEach
-			}
 		}
 		t := time.NewTimer(wait)
 		select {
@@ -248,6 +253,51 @@
 	}
 }
 
+// meet reads the records of all hosts and reports whether they could be read.
+func (s *Station) meet(ctx context.Context) bool {
+	hosts, err := s.platform.Hosts(ctx)
+	if err != nil {
+		s.log.Debug("records of hosts not read", "error", err)
+		return false
+	}
+	for _, h := range hosts {
+		s.peers.Met(h)
+	}
+	s.peers.Listed()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recorded, s.recordedAt = hosts, time.Now()
+	return true
+}
+
+// cutOff reports whether the data centre of this host is cut off from the others.
+func (s *Station) cutOff() bool {
+	known, heard := 0, 0
+	s.peers.Each(func(h peers.Host) {
+		if h.DataCentre == s.settings.DataCentre {
+			return
+		}
+		known++
+		if h.State == host.Alive {
+			heard++
+		}
+	})
+	able := s.gateway.Able()
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !able && heard > 0 && now.Sub(s.checked) > checkEach {
+		s.checked = now
+		go s.peers.CheckElsewhere(checkMost)
+	}
+	before := s.cut
+	off := s.cut.Update(known, heard, able)
+	if s.cut != before {
+		s.log.Warn("data centre cut off", "data-centre", s.settings.DataCentre, "cut-off", off, "hosts-elsewhere", known, "heard", heard)
+	}
+	return off
+}
+
 // Gateway returns what serves requests.
 func (s *Station) Gateway() *gateway.Gateway { return s.gateway }
 
@@ -263,6 +313,15 @@
 // Addresses returns the front addresses for callers in a data centre and how
 // long they may be kept.
 func (s *Station) Addresses(dataCentre string) ([]string, time.Duration) {
+	valid := answerValid
+	if s.settings.AnswerValid > 0 {
+		valid = min(valid, s.settings.AnswerValid)
+	}
+	if s.cutOff() {
+		if elsewhere := s.elsewhere(); len(elsewhere) > 0 {
+			return elsewhere, valid
+		}
+	}
 	_, port, err := net.SplitHostPort(s.settings.Front)
 	if err != nil {
 		return nil, 0
@@ -281,13 +340,37 @@
 	s.gateway.Coverage(func(dataCentre string, share float64) { coverage[dataCentre] = share })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	valid := answerValid
-	if s.settings.AnswerValid > 0 {
-		valid = min(valid, s.settings.AnswerValid)
-	}
 	return directory.Choose(nil, dataCentre, hosts, coverage, addressesMost, s.random), valid
 }
 
+// elsewhere returns the front addresses of hosts in other data centres that are
+// likely up though this host does not hear them: those with a record in the store,
+// or, if the store is cut off as well, those that were heard before.
+func (s *Station) elsewhere() []string {
+	_, port, err := net.SplitHostPort(s.settings.Front)
+	if err != nil {
+		return nil
+	}
+	var all []directory.Host
+	add := func(h peers.Host) {
+		ip, _, err := net.SplitHostPort(h.Address)
+		if err == nil && h.DataCentre != s.settings.DataCentre {
+			all = append(all, directory.Host{Address: net.JoinHostPort(ip, port), DataCentre: h.DataCentre})
+		}
+	}
+	if _, _, reached := s.feed.State(time.Now()); !reached {
+		s.peers.Each(add)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(all) == 0 && time.Since(s.recordedAt) <= recordsValid {
+		for _, h := range s.recorded {
+			add(h)
+		}
+	}
+	return directory.Choose(nil, s.settings.DataCentre, all, nil, addressesMost, s.random)
+}
+
 // Reload takes settings that have changed. Addresses stay as they were.
 func (s *Station) Reload(settings Settings) {
 	s.gateway.SetBounds(settings.Bounds)
