--- a/internal/routing/manifest/manifest.go
+++ b/internal/routing/manifest/manifest.go
@@ -7,25 +7,18 @@
 	"time"
 )
 
-// Limits bound what a caller may send and for how long it may be idle. A zero
-// field sets no limit.
+// Limits bound what a caller may send. A zero field sets no limit.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
 }
 
 // Service is a set of targets that answer alike.
 type Service struct {
 	Name string
-	// HealthPath is where a target of the service tells its health.
-	HealthPath string
 	// Connections is the number of connections that a target takes from all
 	// hosts together.
 	Connections int
-	// ColdFor is how long a target is cold after its start.
-	ColdFor time.Duration
 	// ColdRate is the number of requests a second that a cold target bears.
 	ColdRate float64
 }
@@ -60,8 +53,6 @@
 	Timeout time.Duration
 	// Aim is the time within which an answer is worth most to the caller.
 	Aim time.Duration
-	// Priority is the rank of the route; 0 is the most urgent.
-	Priority int
 }
 
 // Search reports whether the route asks all shards.
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -29,11 +29,6 @@
 	Body   []byte
 }
 
-// Load is what a target says of its work. Slots is 0 if it says nothing.
-type Load struct {
-	Running, Waiting, Slots int
-}
-
 // Reply is how a send ended.
 type Reply struct {
 	Outcome search.Outcome
@@ -44,7 +39,6 @@
 	Body   []byte
 	// Stamp is the target's proof of its answer.
 	Stamp string
-	Load  Load
 	// Shed says that the target refused for want of room.
 	Shed bool
 	// Moved says that another target has the address.
--- /dev/null
+++ b/internal/serving/gateway/timing.go
@@ -0,0 +1,34 @@
+package gateway
+
+import "time"
+
+// timing sets when the request ends and when its parts are late.
+func (r *run) timing() {
+	patience := defaultPatience
+	if p := r.request.Patience; p > 0 {
+		patience = max(p/2, p-endMargin)
+	}
+	if t := r.route.Timeout; t > 0 {
+		patience = min(patience, t)
+	}
+	r.plan.End = r.request.Arrived.Add(patience)
+	group := r.route.Name
+	r.usual = r.g.latencies.Quantile(group, 0.5)
+	late := r.g.latencies.Quantile(group, hedgeQuantile)
+	aim := r.route.Aim
+	if aim == 0 {
+		aim = patience / 4
+	}
+	if r.usual == 0 {
+		r.usual = time.Duration(usualShare * float64(aim))
+		late = aim
+	}
+	if !r.route.Repeatable {
+		return
+	}
+	latest := lookupHedge
+	if r.route.Search() {
+		latest = searchHedge
+	}
+	r.plan.Hedge = max(hedgeLeast, min(max(late, r.usual*3/2), time.Duration(latest*float64(aim))))
+}
--- /dev/null
+++ b/internal/serving/station/addresses.go
@@ -0,0 +1,156 @@
+package station
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"fescuerill/host"
+	"fescuerill/internal/fleet/directory"
+	"fescuerill/internal/fleet/peers"
+)
+
+const (
+	// addressesMost is the number of hosts that an answer names at most.
+	addressesMost = 64
+	// answerValid is how long callers may keep the addresses of hosts.
+	answerValid = time.Second
+	// recordEach is how often the host looks after its record in the store.
+	recordEach = 1500 * time.Millisecond
+	// checkEach and checkMost are how often and how many hosts of other data centres
+	// are probed out of turn while most searches fail.
+	checkEach = time.Second
+	checkMost = 32
+	// recordsValid is for how long the records of other hosts are relied on.
+	recordsValid = 2 * time.Second
+)
+
+// keepRecord keeps the host's record in the store and meets the hosts that have
+// one.
+func (s *Station) keepRecord(ctx context.Context, self peers.Self) {
+	record := peers.Host{Address: self.Address, DataCentre: self.DataCentre, Incarnation: self.Incarnation}
+	met := false
+	for ctx.Err() == nil {
+		wait := recordEach
+		if err := s.platform.Record(ctx, record); err != nil && ctx.Err() == nil {
+			s.tally.Add("record-failures", 1)
+			s.log.Debug("record not kept", "error", err)
+		}
+		if cut := s.cutOff(); cut || !met {
+			met = s.meet(ctx) || met
+			wait = time.Second
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+		}
+	}
+}
+
+// meet reads the records of all hosts and reports whether they could be read.
+func (s *Station) meet(ctx context.Context) bool {
+	hosts, err := s.platform.Hosts(ctx)
+	if err != nil {
+		s.log.Debug("records of hosts not read", "error", err)
+		return false
+	}
+	for _, h := range hosts {
+		s.peers.Met(h)
+	}
+	s.peers.Listed()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recorded, s.recordedAt = hosts, time.Now()
+	return true
+}
+
+// cutOff reports whether the data centre of this host is cut off from the others.
+func (s *Station) cutOff() bool {
+	known, heard := 0, 0
+	s.peers.Each(func(h peers.Host) {
+		if h.DataCentre == s.settings.DataCentre {
+			return
+		}
+		known++
+		if h.State == host.Alive {
+			heard++
+		}
+	})
+	able := s.gateway.Able()
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !able && heard > 0 && now.Sub(s.checked) > checkEach {
+		s.checked = now
+		go s.peers.CheckElsewhere(checkMost)
+	}
+	before := s.cut
+	off := s.cut.Update(known, heard, able)
+	if s.cut != before {
+		s.log.Warn("data centre cut off", "data-centre", s.settings.DataCentre, "cut-off", off, "hosts-elsewhere", known, "heard", heard)
+	}
+	return off
+}
+
+// Addresses returns the front addresses for callers in a data centre and how
+// long they may be kept.
+func (s *Station) Addresses(dataCentre string) ([]string, time.Duration) {
+	valid := answerValid
+	if s.settings.AnswerValid > 0 {
+		valid = min(valid, s.settings.AnswerValid)
+	}
+	if s.cutOff() {
+		if elsewhere := s.elsewhere(); len(elsewhere) > 0 {
+			return elsewhere, valid
+		}
+	}
+	_, port, err := net.SplitHostPort(s.settings.Front)
+	if err != nil {
+		return nil, 0
+	}
+	var hosts []directory.Host
+	if s.Ready() {
+		hosts = append(hosts, directory.Host{Address: s.settings.Front, DataCentre: s.settings.DataCentre})
+	}
+	s.peers.Each(func(h peers.Host) {
+		ip, _, err := net.SplitHostPort(h.Address)
+		if err == nil && h.State == host.Alive {
+			hosts = append(hosts, directory.Host{Address: net.JoinHostPort(ip, port), DataCentre: h.DataCentre})
+		}
+	})
+	coverage := map[string]float64{}
+	s.gateway.Coverage(func(dataCentre string, share float64) { coverage[dataCentre] = share })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return directory.Choose(nil, dataCentre, hosts, coverage, addressesMost, s.random), valid
+}
+
+// elsewhere returns the front addresses of hosts in other data centres that are
+// likely up though this host does not hear them: those with a record in the store,
+// or, if the store is cut off as well, those that were heard before.
+func (s *Station) elsewhere() []string {
+	_, port, err := net.SplitHostPort(s.settings.Front)
+	if err != nil {
+		return nil
+	}
+	var all []directory.Host
+	add := func(h peers.Host) {
+		ip, _, err := net.SplitHostPort(h.Address)
+		if err == nil && h.DataCentre != s.settings.DataCentre {
+			all = append(all, directory.Host{Address: net.JoinHostPort(ip, port), DataCentre: h.DataCentre})
+		}
+	}
+	if _, _, reached := s.feed.State(time.Now()); !reached {
+		s.peers.Each(add)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(all) == 0 && time.Since(s.recordedAt) <= recordsValid {
+		for _, h := range s.recorded {
+			add(h)
+		}
+	}
+	return directory.Choose(nil, s.settings.DataCentre, all, nil, addressesMost, s.random)
+}
