End idle connections of callers by the manifest's limit

Cause: a fixed minute applied; callers of an installation with a longer limit would have met the end of their connections.

Change: the station follows idle connections and ends those beyond the limit in force and a second; without a limit a minute applies.

--- a/internal/routing/manifest/manifest.go
+++ b/internal/routing/manifest/manifest.go
@@ -7,10 +7,12 @@
 	"time"
 )
 
-// Limits bound what a caller may send. A zero field sets no limit.
+// Limits bound what a caller may send and how long its connection may be idle. A zero
+// field sets no limit.
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
+	IdleTimeout time.Duration
 }
 
 // Service is a set of targets that answer alike.
--- a/internal/serving/station/station.go
+++ b/internal/serving/station/station.go
@@ -73,6 +73,7 @@
 	peers    *peers.Peers
 	feed     feed.Feed
 	front    *http.Server
+	idle     idleConns
 	cancel   context.CancelFunc
 	stopping atomic.Bool
 	// asked is when the last request came, in nanoseconds since began.
@@ -143,6 +144,7 @@
 	s.done.Go(func() { s.feed.Run(ctx) })
 	s.done.Go(func() { s.gateway.Housekeep(ctx) })
 	s.done.Go(func() { s.keepRecord(ctx, self) })
+	s.done.Go(func() { s.endIdle(ctx) })
 	return s.listen(ctx)
 }
 
@@ -180,8 +182,8 @@
 	s.front = &http.Server{
 		Handler:           s.platform.Front(s),
 		ReadHeaderTimeout: 10 * time.Second,
-		IdleTimeout:       time.Minute,
 		MaxHeaderBytes:    64 << 10,
+		ConnState:         s.idle.note,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 	}
 	if err := s.serve(ctx, s.front, s.settings.Front); err != nil {
