--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -53,11 +53,8 @@
 func join(t *testing.T, n int, centre string, seeds ...string) *member {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	require.NoError(t, err)
+	conn, l := listenBoth(t)
 	address := conn.LocalAddr().String()
-	l, err := net.Listen("tcp", address)
-	require.NoError(t, err)
 	m := &member{address: address, conn: &lossy{PacketConn: conn}, stop: cancel}
 	self := peers.Self{Address: address, DataCentre: centre, Incarnation: fmt.Sprint("run", n)}
 	m.Peers = peers.Start(ctx, self, m.conn, rand.New(rand.NewPCG(uint64(n), 1)), slog.New(slog.DiscardHandler), &tally.Tally{})
@@ -66,6 +63,23 @@
 	return m
 }
 
+// listenBoth takes an address for datagrams and connections. Another process may have
+// a port for one of them, so it tries several.
+func listenBoth(t *testing.T) (net.PacketConn, net.Listener) {
+	t.Helper()
+	for range 50 {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		require.NoError(t, err)
+		l, err := net.Listen("tcp", conn.LocalAddr().String())
+		if err == nil {
+			return conn, l
+		}
+		_ = conn.Close()
+	}
+	t.Fatal("no port is free for both")
+	return nil, nil
+}
+
 func (m *member) state(address string) host.State {
 	s := host.Dead
 	m.Each(func(h peers.Host) {
