Serve latencies by route and service, and gauges of what a host believes

Cause: the counters had latencies by kind of answer only and did not say how many targets are in which state, what the retry budgets still allow or since when the store is lost, so that an engineer had to infer these from lines. Change: histograms answer-us-route-ROUTE and part-us-service-SERVICE with small reservoirs, gauges targets-STATE, retry-budget-left-SERVICE, searches-running, search-limit, store-turned-s-ago, worked out when the page is asked for. One type for the state of a target, used by the log as well.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -94,6 +94,8 @@
 	gone   []Item
 	floor  int64
 	lost   bool
+	// turned is when the store was last lost or regained.
+	turned time.Time
 }
 
 // Reset makes the feed one that has read nothing.
@@ -202,6 +204,9 @@
 	age, failures := now.Sub(f.cursor.Heard()), f.cursor.failures
 	news := !f.lost && failures >= troubleAfter
 	f.lost = f.lost || news
+	if news {
+		f.turned = now
+	}
 	f.mu.Unlock()
 	if news {
 		f.log.Warn("store lost", "call", call, "took-ms", now.Sub(began).Milliseconds(), "heard-ms", age.Milliseconds(), "error", err)
@@ -213,6 +218,9 @@
 	f.cursor.Read(began, time.Now(), revision)
 	back := f.lost
 	f.lost = false
+	if back {
+		f.turned = time.Now()
+	}
 	f.mu.Unlock()
 	if back {
 		f.log.Info("store regained", "revision", revision)
@@ -312,10 +320,22 @@
 	return t, true
 }
 
-// State returns the revision up to which the store is known, how long ago that
-// was, and whether the store answers.
-func (f *Feed) State(now time.Time) (revision int64, age time.Duration, reached bool) {
+// State is how well the store is known.
+type State struct {
+	// Revision is up to which the store is known, and Age how long ago that was.
+	Revision int64
+	Age      time.Duration
+	// Reached reports whether the store answers, and Since when it was last lost or
+	// regained; zero if it never was.
+	Reached bool
+	Since   time.Time
+}
+
+// State returns how well the store is known.
+func (f *Feed) State(now time.Time) State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.cursor.Revision(), now.Sub(f.cursor.Heard()), f.cursor.Reached()
+	return State{
+		Revision: f.cursor.Revision(), Age: now.Sub(f.cursor.Heard()), Reached: f.cursor.Reached(), Since: f.turned,
+	}
 }
--- a/internal/serving/gateway/admit.go
+++ b/internal/serving/gateway/admit.go
@@ -48,5 +48,4 @@
 	}
 	used := float64(half.Sub(r.request.Arrived)) / float64(settle.Sub(r.request.Arrived))
 	g.limiter.Leave(now, admission.Ending{Used: min(1, used)})
-	g.tally.Gauge("search-limit", g.limiter.Limit())
 }
--- a/internal/serving/gateway/answer.go
+++ b/internal/serving/gateway/answer.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"fescuerill/internal/invariant"
-	"fescuerill/internal/routing/catalog"
 	"fescuerill/internal/serving/copies"
 	"fescuerill/internal/serving/search"
 )
@@ -137,22 +136,11 @@
 	}
 	var why []string
 	for _, k := range known {
-		why = append(why, k.ID+"="+g.stateOf(now, k))
+		word := g.stateOf(now, k).String()
+		if rest := g.board.Copy(k.ID).RestLeft(now); rest > 0 {
+			word = fmt.Sprintf("%s-%dms", word, rest.Milliseconds())
+		}
+		why = append(why, k.ID+"="+word)
 	}
 	return strings.Join(why, ",")
 }
-
-func (g *Gateway) stateOf(now time.Time, k *catalog.Known) string {
-	c := g.board.Copy(k.ID)
-	switch {
-	case k.Leaving:
-		return "leaving"
-	case g.catalog.Out(k.DataCentre):
-		return "out"
-	case now.Before(k.ColdUntil):
-		return "cold"
-	case c.Resting(now):
-		return fmt.Sprintf("resting-%dms", c.RestLeft(now).Milliseconds())
-	}
-	return "usable"
-}
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -182,14 +182,20 @@
 	g.mu.Lock()
 	took := g.board.End(now, s.Target, token, result, r.usual)
 	g.mu.Unlock()
-	if reply.Outcome == search.Good {
-		g.latencies.Add(now, r.route.Name, took)
-	} else {
-		g.tally.Add("sends-ended-"+reply.Reason, 1)
-	}
+	r.count(now, s, &reply, took)
 	r.ended <- []ended{{send: s, reply: reply, took: took}}
 }
 
+// count takes the end of a send into the latencies and counters.
+func (r *run) count(now time.Time, s search.Send, reply *exchange.Reply, took time.Duration) {
+	if reply.Outcome != search.Good {
+		r.g.tally.Add("sends-ended-"+reply.Reason, 1)
+		return
+	}
+	r.g.latencies.Add(now, r.route.Name, took)
+	r.g.tally.SampleGroup("part-us-service", r.chooser.services[s.Part], took.Microseconds())
+}
+
 // rest returns the time left for a send that is about to be written, or 0 if it
 // must no longer go to the target. A part is given the time until the answer is
 // to be sent, so that a busy target does no work that comes too late; only when
@@ -305,7 +311,9 @@
 		r.g.mu.Unlock()
 	}
 	r.g.tally.Add("answers-"+a.Kind.String(), 1)
-	r.g.tally.Sample("answer-us-"+a.Kind.String(), time.Since(r.request.Arrived).Microseconds())
+	took := time.Since(r.request.Arrived).Microseconds()
+	r.g.tally.Sample("answer-us-"+a.Kind.String(), took)
+	r.g.tally.SampleGroup("answer-us-route", r.route.Name, took)
 	if r.unusual || a.Kind != Served && (a.Kind != Merged || a.Missing > 0) {
 		r.write(a)
 	}
--- a/internal/serving/gateway/through.go
+++ b/internal/serving/gateway/through.go
@@ -124,11 +124,7 @@
 	}
 	r.g.mu.Unlock()
 	for _, e := range together {
-		if e.reply.Outcome == search.Good {
-			r.g.latencies.Add(now, r.route.Name, e.took)
-		} else {
-			r.g.tally.Add("sends-ended-"+e.reply.Reason, 1)
-		}
+		r.count(now, e.send, &e.reply, e.took)
 	}
 	r.ended <- together
 }
--- a/internal/serving/station/addresses.go
+++ b/internal/serving/station/addresses.go
@@ -142,7 +142,7 @@
 			all = append(all, directory.Host{Address: net.JoinHostPort(ip, port), DataCentre: h.DataCentre})
 		}
 	}
-	if _, _, reached := s.feed.State(time.Now()); !reached {
+	if !s.feed.State(time.Now()).Reached {
 		s.peers.Each(add)
 	}
 	s.mu.Lock()
--- a/internal/serving/station/station.go
+++ b/internal/serving/station/station.go
@@ -265,16 +265,20 @@
 func (s *Station) metrics() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		now := time.Now()
-		revision, age, reached := s.feed.State(now)
+		store := s.feed.State(now)
+		s.gateway.Gauge(now)
 		live := 1
 		s.peers.Each(func(h peers.Host) {
 			if h.State == host.Alive {
 				live++
 			}
 		})
-		s.tally.Gauge("store-revision", int(revision))
-		s.tally.Gauge("store-age-ms", int(age.Milliseconds()))
-		s.tally.Gauge("store-reached", flag(reached))
+		s.tally.Gauge("store-revision", int(store.Revision))
+		s.tally.Gauge("store-age-ms", int(store.Age.Milliseconds()))
+		s.tally.Gauge("store-reached", flag(store.Reached))
+		if !store.Since.IsZero() {
+			s.tally.Gauge("store-turned-s-ago", int(now.Sub(store.Since).Seconds()))
+		}
 		s.tally.Gauge("hosts-live", live)
 		s.tally.Gauge("requests-running", s.gateway.Running())
 		s.tally.Gauge("invariant-violations", int(invariant.Violations()))
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -7,8 +7,12 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// reservoir is the number of samples that a histogram keeps.
-const reservoir = 4096
+const (
+	// reservoir is the number of samples that a histogram keeps.
+	reservoir = 4096
+	// groupReservoir is that number for one of many groups of a histogram.
+	groupReservoir = 256
+)
 
 // Tally is a set of counters, gauges and histograms. The zero value is empty.
 // Its methods may be called from several goroutines.
@@ -35,9 +39,17 @@
 }
 
 // Sample adds a value to the histogram with the name.
-func (t *Tally) Sample(name string, v int64) {
+func (t *Tally) Sample(name string, v int64) { t.sample(name, v, reservoir) }
+
+// SampleGroup adds a value to the histogram of a group. It keeps fewer samples, so
+// that there may be many groups.
+func (t *Tally) SampleGroup(name, group string, v int64) {
+	t.sample(name+"-"+group, v, groupReservoir)
+}
+
+func (t *Tally) sample(name string, v int64, size int) {
 	t.registry().GetOrRegister(name, func() metrics.Histogram {
-		return metrics.NewHistogram(metrics.NewUniformSample(reservoir))
+		return metrics.NewHistogram(metrics.NewUniformSample(size))
 	}).(metrics.Histogram).Update(v)
 }
 
