End slow headers of callers by the manifest's limit

Cause: http.Server reads its header timeout once, so that a fixed 10 s applied whatever the manifest said. Change: the listener for callers bounds each read deadline that the server sets by the limit in force, from the first byte on; a new connection may be silent for as long as before.

--- a/internal/routing/manifest/manifest.go
+++ b/internal/routing/manifest/manifest.go
@@ -7,12 +7,13 @@
 	"time"
 )
 
-// Limits bound what a caller may send and how long its connection may be idle. A zero
-// field sets no limit.
+// Limits bound what a caller may send, how long it may take to send a header and how
+// long its connection may be idle. A zero field sets no limit.
 type Limits struct {
-	HeaderBytes int
-	BodyBytes   int64
-	IdleTimeout time.Duration
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Service is a set of targets that answer alike.
--- /dev/null
+++ b/internal/serving/station/header.go
@@ -0,0 +1,66 @@
+package station
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// headerMost is how long a caller may take to send a header while the manifest sets
+// no limit, and to send its first byte on a new connection.
+const headerMost = 10 * time.Second
+
+// callerListener bounds the time in which callers send their headers by a limit that
+// may change. http.Server has one limit for all its life.
+type callerListener struct {
+	net.Listener
+	// limit returns the limit in force, or 0 if there is none.
+	limit func() time.Duration
+}
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: c, limit: l.limit}, nil
+}
+
+// callerConn is a connection of a caller. The server sets a deadline to come on it
+// for headers only.
+type callerConn struct {
+	net.Conn
+	limit func() time.Duration
+	// begun says that the first byte has come.
+	begun atomic.Bool
+}
+
+// Read implements net.Conn. The time for the first header begins with its first byte.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.begun.CompareAndSwap(false, true) {
+		if d := c.limit(); d > 0 {
+			_ = c.Conn.SetReadDeadline(time.Now().Add(d))
+		}
+	}
+	return n, err
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	now := time.Now()
+	if d := c.limit(); d > 0 && c.begun.Load() && t.After(now.Add(d)) {
+		t = now.Add(d)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// headerLimit returns the manifest's limit on the time of a header, or 0.
+func (s *Station) headerLimit() time.Duration {
+	m := s.gateway.Manifest()
+	if m == nil {
+		return 0
+	}
+	return m.Limits().HeaderTimeout
+}
--- a/internal/serving/station/station.go
+++ b/internal/serving/station/station.go
@@ -181,12 +181,13 @@
 func (s *Station) listen(ctx context.Context) error {
 	s.front = &http.Server{
 		Handler:           s.platform.Front(s),
-		ReadHeaderTimeout: 10 * time.Second,
+		ReadHeaderTimeout: headerMost,
 		MaxHeaderBytes:    64 << 10,
 		ConnState:         s.idle.note,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 	}
-	if err := s.serve(ctx, s.front, s.settings.Front); err != nil {
+	limited := func(l net.Listener) net.Listener { return callerListener{Listener: l, limit: s.headerLimit} }
+	if err := s.serve(ctx, s.front, s.settings.Front, limited); err != nil {
 		return errors.Wrap(err, "front address")
 	}
 	small := map[string]http.Handler{
@@ -197,7 +198,7 @@
 			continue
 		}
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: directoryTimeout, IdleTimeout: time.Minute}
-		if err := s.serve(ctx, server, address); err != nil {
+		if err := s.serve(ctx, server, address, nil); err != nil {
 			return errors.Wrap(err, "address "+address)
 		}
 		context.AfterFunc(ctx, func() { _ = server.Close() })
@@ -205,12 +206,16 @@
 	return nil
 }
 
-func (s *Station) serve(ctx context.Context, server *http.Server, address string) error {
+// serve listens on an address; wrap, if there is one, changes the listener.
+func (s *Station) serve(ctx context.Context, server *http.Server, address string, wrap func(net.Listener) net.Listener) error {
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
+	if wrap != nil {
+		l = wrap(l)
+	}
 	s.done.Go(func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Error("no longer listening", "address", address, "error", err)
