Let less urgent searches leave room to others

Change: the manifest's priority is decoded again; a search that is less urgent than another of the manifest fills three quarters of the room, and all of it in each third turn, so that its kind is not starved.

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -14,8 +14,10 @@
 	// the limit may rise and above which it is lowered.
 	quick = 0.5
 	slow  = 0.7
-	// urgentShare is how far urgent queries may exceed the limit.
-	urgentShare = 0.5
+	// behindPart is the part of the room that less urgent queries may fill, and
+	// behindTurn says which of them may fill all of it: one in so many.
+	behindPart = 0.75
+	behindTurn = 3
 )
 
 // Ending is how a query ended.
@@ -38,6 +40,8 @@
 	lastCut time.Time
 	period  time.Duration
 	settled bool
+	// behind counts the less urgent queries.
+	behind int
 }
 
 // Reset sets the most queries that may be under way. The limit is lowered at
@@ -54,22 +58,27 @@
 func (l *Limiter) Running() int { return l.running }
 
 // Enter admits a query and reports whether there was room.
-func (l *Limiter) Enter() bool {
-	if l.running >= int(l.limit) {
+func (l *Limiter) Enter() bool { return l.EnterWithin(1) }
+
+// EnterWithin admits a query if fewer are under way than the given part of the limit,
+// and reports whether it did. A part below 1 keeps room for others, one above 1 goes
+// beyond the limit.
+func (l *Limiter) EnterWithin(part float64) bool {
+	if l.running >= max(least, int(l.limit*part)) {
 		return false
 	}
 	l.running++
 	return true
 }
 
-// EnterUrgent admits a query that should not be refused again, beyond the limit by
-// a share of it, and reports whether there was room.
-func (l *Limiter) EnterUrgent() bool {
-	if l.running >= int(l.limit*(1+urgentShare)) {
-		return false
+// EnterBehind is EnterWithin for a query that is less urgent than others: it leaves
+// them a part of the room, except in its turn, so that its kind is not starved.
+func (l *Limiter) EnterBehind(part float64) bool {
+	l.behind++
+	if l.behind%behindTurn != 0 {
+		part *= behindPart
 	}
-	l.running++
-	return true
+	return l.EnterWithin(part)
 }
 
 // Leave ends an admitted query.
--- a/internal/routing/manifest/manifest.go
+++ b/internal/routing/manifest/manifest.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -54,6 +55,8 @@
 	Attempts int
 	// Timeout is how long a request may be kept waiting; 0 sets no bound.
 	Timeout time.Duration
+	// Rank is how urgent the requests are; 0 is the most urgent.
+	Rank int
 	// Aim is the time within which an answer is worth most to the caller.
 	Aim time.Duration
 }
@@ -89,6 +92,8 @@
 	routes   []*Route
 	byHost   map[string][]*Route
 	services map[string]*Service
+	// urgent is the rank of the most urgent search.
+	urgent int
 }
 
 // New returns the manifest with the version, routes, services and limits. It
@@ -96,9 +101,12 @@
 func New(version int64, routes []*Route, services []*Service, limits Limits) *Manifest {
 	m := &Manifest{
 		version: version, limits: limits, routes: routes,
-		byHost: map[string][]*Route{}, services: map[string]*Service{},
+		byHost: map[string][]*Route{}, services: map[string]*Service{}, urgent: math.MaxInt,
 	}
 	for _, r := range routes {
+		if r.Search() {
+			m.urgent = min(m.urgent, r.Rank)
+		}
 		m.byHost[r.Host] = append(m.byHost[r.Host], r)
 	}
 	for _, list := range m.byHost {
@@ -119,6 +127,9 @@
 // Routes returns all routes. The slice must not be changed.
 func (m *Manifest) Routes() []*Route { return m.routes }
 
+// LessUrgent reports whether a search is less urgent than another one.
+func (m *Manifest) LessUrgent(r *Route) bool { return r.Search() && r.Rank > m.urgent }
+
 // Service returns the service with the name, or nil.
 func (m *Manifest) Service(name string) *Service { return m.services[name] }
 
--- a/internal/serving/gateway/admit.go
+++ b/internal/serving/gateway/admit.go
@@ -11,16 +11,20 @@
 // half of their parts come back: single stragglers say nothing about the load,
 // but when half of the parts take most of the time, more searches only make all
 // of them late.
-func (g *Gateway) admit(q *Request, route *manifest.Route) bool {
+func (g *Gateway) admit(q *Request, m *manifest.Manifest, route *manifest.Route) bool {
 	if !route.Search() {
 		return true
 	}
+	part := 1.0
+	if q.Patience > 0 && float64(q.Patience) < returnShare*float64(route.Timeout) {
+		part = returnPart
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if q.Patience > 0 && float64(q.Patience) < returnShare*float64(route.Timeout) {
-		return g.limiter.EnterUrgent()
+	if m.LessUrgent(route) {
+		return g.limiter.EnterBehind(part)
 	}
-	return g.limiter.Enter()
+	return g.limiter.EnterWithin(part)
 }
 
 // spread returns a time from the given one to twice as much.
--- a/internal/serving/gateway/bounds.go
+++ b/internal/serving/gateway/bounds.go
@@ -48,6 +48,9 @@
 	// returnShare is the part of a route's time below which the patience of a
 	// caller shows that it was refused before.
 	returnShare = 0.85
+	// returnPart is the part of the limit of searches within which such a caller is
+	// admitted, so that few are refused twice.
+	returnPart = 1.5
 	// servedGain is the weight of a search in the share of those answered, ableShare
 	// that share below which a host is not able, and ableAfter how long it counts.
 	servedGain = 0.1
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -68,7 +68,7 @@
 		return g.refuse(q, route, "host-full", retryLeast)
 	}
 	defer g.running.Add(-1)
-	if !g.admit(q, route) {
+	if !g.admit(q, m, route) {
 		return g.refuse(q, route, "targets-busy", g.spread(busyRetry))
 	}
 	r := g.newRun(q, m, route)
