Carry callers by few hosts of each data centre

Change: the directory names, and parts go through, the fewest hosts of a data centre that hold three tenths of its cores, or more as the load asks, three at least; those with more cores first, then by rendezvous. Hosts tell their guide the parts that they send and learn the sum of their data centre from it; while that is not known, all hosts carry callers. Connections to a target are divided over those hosts. They are probed once more a second by the others of their data centre.

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -22,6 +22,8 @@
 type Host struct {
 	Address    string
 	DataCentre string
+	// Cores is the processor cores that it may use.
+	Cores float64
 }
 
 // Choose appends to dst the addresses of the hosts for callers in a data centre,
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -38,7 +38,9 @@
 	Address     string
 	DataCentre  string
 	Incarnation string
-	State       host.State
+	// Cores is the processor cores that it may use.
+	Cores float64
+	State host.State
 }
 
 // Self is what this host tells the others of itself.
@@ -46,6 +48,7 @@
 	Address     string
 	DataCentre  string
 	Incarnation string
+	Cores       float64
 }
 
 // Peers follows the other hosts. Start makes one. Its methods may be called
@@ -61,6 +64,8 @@
 	mu      sync.Mutex
 	members host.Membership
 	centres map[string]string
+	cores   map[string]float64
+	loads   loads
 	greeted map[string]time.Time
 	gone    map[string]time.Time
 	began   time.Time
@@ -80,7 +85,7 @@
 func Start(ctx context.Context, self Self, conn net.PacketConn, random *rand.Rand, log *slog.Logger, t *tally.Tally) *Peers {
 	p := &Peers{
 		ctx: ctx, self: self, conn: conn, log: log, tally: t,
-		centres: map[string]string{}, greeted: map[string]time.Time{}, gone: map[string]time.Time{}, pending: map[int]probe{},
+		centres: map[string]string{}, cores: map[string]float64{}, greeted: map[string]time.Time{}, gone: map[string]time.Time{}, pending: map[int]probe{},
 		began: time.Now(),
 	}
 	p.members.Reset(time.Now(), self.Address, self.Incarnation, random)
@@ -115,6 +120,9 @@
 	}
 }
 
+// Check probes a host now rather than in its turn.
+func (p *Peers) Check(address string) { p.probe(address, "", 0) }
+
 // Met takes what the store says of a host.
 func (p *Peers) Met(h Host) {
 	p.mu.Lock()
@@ -131,6 +139,7 @@
 		return false
 	}
 	p.centres[h.Address] = h.DataCentre
+	p.cores[h.Address] = h.Cores
 	if !p.members.Meet(now, h.Address, h.Incarnation) {
 		return false
 	}
@@ -160,7 +169,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.members.Each(func(n host.News) {
-		f(Host{Address: n.ID, DataCentre: p.centres[n.ID], Incarnation: n.Incarnation, State: n.State})
+		f(Host{Address: n.ID, DataCentre: p.centres[n.ID], Incarnation: n.Incarnation, Cores: p.cores[n.ID], State: n.State})
 	})
 }
 
@@ -206,8 +215,15 @@
 	return n
 }
 
-// Listed takes that all hosts with a record in the store have been met.
-func (p *Peers) Listed() {
+// Listed reports whether the size of the fleet is known, or has to be taken as it is.
+func (p *Peers) Listed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listed || time.Since(p.began) >= firstTime
+}
+
+// SetListed takes that all hosts with a record in the store have been met.
+func (p *Peers) SetListed() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.listed = true
@@ -222,6 +238,7 @@
 		p.report(before, now)
 		for _, dead := range p.members.Forget(now, forgetAfter, nil) {
 			delete(p.centres, dead)
+			delete(p.cores, dead)
 		}
 		wait := p.members.Next().Sub(now)
 		p.mu.Unlock()
@@ -311,7 +328,7 @@
 	p.mu.Lock()
 	m := fleet.Message{
 		Kind: kind, From: p.self.Address, Incarnation: p.self.Incarnation,
-		DataCentre: p.self.DataCentre, Number: number, News: []fleet.News{},
+		DataCentre: p.self.DataCentre, Cores: p.self.Cores, Number: number, News: []fleet.News{},
 	}
 	for _, n := range p.members.News(nil) {
 		m.News = append(m.News, fleet.News{
@@ -368,7 +385,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	before := p.states()
-	fresh := p.meet(now, Host{Address: m.From, DataCentre: m.DataCentre, Incarnation: m.Incarnation})
+	fresh := p.meet(now, Host{Address: m.From, DataCentre: m.DataCentre, Incarnation: m.Incarnation, Cores: m.Cores})
 	p.members.Hear(now, m.From, newsOf(m.News))
 	p.report(before, now)
 	var done probe
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -100,7 +100,7 @@
 		for i, o := range all {
 			m.Met(peers.Host{Address: o.address, DataCentre: []string{"a", "b"}[i%2], Incarnation: fmt.Sprint("run", i)})
 		}
-		m.Listed()
+		m.SetListed()
 	}
 	return all
 }
@@ -175,7 +175,7 @@
 func TestAssumesAFleetUntilItIsKnown(t *testing.T) {
 	m := join(t, 1, "a")
 	assert.Greater(t, m.Size(), 1)
-	m.Listed()
+	m.SetListed()
 	assert.Equal(t, 1, m.Size())
 }
 
--- a/internal/fleet/peers/tell.go
+++ b/internal/fleet/peers/tell.go
@@ -60,7 +60,9 @@
 	if !ok {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "nothing known"}
 	}
-	return encode(now, told), nil
+	m := encode(now, told)
+	m.PartsPerSecond = p.tallyLoad(now, since)
+	return m, nil
 }
 
 func encode(now time.Time, t feed.Told) fleet.Items {
@@ -165,8 +167,10 @@
 
 // Ask implements feed.Peers.
 func (p *Peers) Ask(ctx context.Context, after int64, whole bool) (feed.Told, error) {
-	address, ok := p.guide()
+	address, guided := p.guide()
+	ok := guided
 	if whole || !ok {
+		guided = false
 		address, ok = p.someone()
 	}
 	if !ok {
@@ -183,8 +187,15 @@
 		}))
 	defer func() { _ = c.Close() }()
 	var m fleet.Items
-	if err := c.Call(ctx, methodItems, fleet.Since{Revision: int(after), Whole: whole}, &m); err != nil {
+	since := fleet.Since{
+		Revision: int(after), Whole: whole, From: p.self.Address, DataCentre: p.self.DataCentre, PartsPerSecond: p.load(),
+	}
+	if err := c.Call(ctx, methodItems, since, &m); err != nil {
 		return feed.Told{}, errors.Wrap(err, "host "+address)
 	}
-	return decode(time.Now(), m)
+	now := time.Now()
+	if guided {
+		p.toldLoad(now, m.PartsPerSecond)
+	}
+	return decode(now, m)
 }
--- a/internal/schema/fleet/fleet.gen.go
+++ b/internal/schema/fleet/fleet.gen.go
@@ -37,6 +37,10 @@
 	// Items by revision.
 	Items []Item `json:"items"`
 
+	// Parts that the hosts which ask this one send to targets; of the asker's data
+	// centre.
+	PartsPerSecond float64 `json:"parts-per-second"`
+
 	// Revision up to which the host knows the store.
 	Revision int `json:"revision"`
 
@@ -52,6 +56,9 @@
 	// Host to probe
 	About *string `json:"about,omitempty,omitzero"`
 
+	// Processor cores that the sender may use.
+	Cores float64 `json:"cores"`
+
 	// Data centre of the sender.
 	DataCentre string `json:"data-centre"`
 
@@ -101,6 +108,9 @@
 
 // What a host keeps in the store about itself.
 type Record struct {
+	// Processor cores that the host may use.
+	Cores float64 `json:"cores"`
+
 	// Data centre of the host.
 	DataCentre string `json:"data-centre"`
 
@@ -113,6 +123,15 @@
 
 // Asks a host for what it knows of the store after a revision.
 type Since struct {
+	// Data centre of the asker.
+	DataCentre string `json:"data-centre"`
+
+	// Peer address of the asker.
+	From string `json:"from"`
+
+	// Parts that the asker sends to targets.
+	PartsPerSecond float64 `json:"parts-per-second"`
+
 	// Revision up to which the asker knows the store.
 	Revision int `json:"revision"`
 
--- a/internal/serving/gateway/belief.go
+++ b/internal/serving/gateway/belief.go
@@ -22,11 +22,10 @@
 		}
 		changes = append(changes, c)
 	}
-	size := g.fleet.Size()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for i, c := range changes {
-		g.take(now, items[i].Revision, c, size, trouble)
+		g.take(now, items[i].Revision, c, trouble)
 	}
 	g.tally.Gauge("targets-known", g.catalog.Len())
 	if whole {
@@ -38,12 +37,12 @@
 	g.news = g.news[:0]
 }
 
-func (g *Gateway) take(now time.Time, revision int64, c Change, size int, trouble time.Time) {
+func (g *Gateway) take(now time.Time, revision int64, c Change, trouble time.Time) {
 	switch {
 	case c.Manifest != nil:
 		g.adopt(revision, c.Manifest)
 	case c.Target != nil:
-		g.put(now, *c.Target, size)
+		g.put(now, *c.Target)
 	case c.Gone != "":
 		g.remove(now, c.Gone, trouble)
 	case c.Centre != "":
@@ -66,7 +65,7 @@
 	g.log.Info("manifest in force", "version", m.Version(), "revision", revision, "routes", len(m.Routes()))
 }
 
-func (g *Gateway) put(now time.Time, t catalog.Target, size int) {
+func (g *Gateway) put(now time.Time, t catalog.Target) {
 	old := g.catalog.Get(t.ID)
 	restarted := old != nil && old.Incarnation != t.Incarnation
 	if !g.catalog.Put(now, t) {
@@ -77,7 +76,7 @@
 		g.pool.Drop(t.ID)
 	}
 	k := g.catalog.Get(t.ID)
-	g.pool.SetMost(t.ID, g.connections(k, size))
+	g.pool.SetMost(t.ID, g.connections(k))
 	g.news = append(g.news, fmt.Sprintf("%s:%s:%s:%s", t.ID, t.Service, t.DataCentre, wordOf(t, restarted)))
 }
 
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -44,9 +44,10 @@
 	// Size returns the number of hosts, with this one and those that died
 	// lately.
 	Size() int
-	// Near returns the number of live hosts in the data centre of this one, which
-	// counts.
+	// Near and Far return over how many hosts the connections to a target are
+	// divided, of the data centre of this one and of all.
 	Near() int
+	Far() int
 	// Rank returns how many live hosts come before this one for something.
 	Rank(something string) int
 	// Relays appends to dst where the live hosts of another data centre take
@@ -67,6 +68,7 @@
 	latencies  latency.Groups
 	manifest   atomic.Pointer[manifest.Manifest]
 	running    atomic.Int64
+	parts      atomic.Int64
 
 	mu       sync.Mutex
 	bounds   Bounds
@@ -152,6 +154,10 @@
 	g.servedAt = now
 }
 
+// Parts returns the number of parts that this host has sent, for itself or for other
+// hosts.
+func (g *Gateway) Parts() int64 { return g.parts.Load() }
+
 // Running returns the number of requests under way.
 func (g *Gateway) Running() int { return int(g.running.Load()) }
 
@@ -190,14 +196,14 @@
 		w.SetAllowance(g.bounds.RetryAllowance * budgetShare / float64(size))
 	}
 	g.board.Expire(now)
-	g.catalog.Each(func(k *catalog.Known) { g.pool.SetMost(k.ID, g.connections(k, size)) })
+	g.catalog.Each(func(k *catalog.Known) { g.pool.SetMost(k.ID, g.connections(k)) })
 	g.cold.Expire(now)
 }
 
 // connections returns how many connections this host may have to a target. Hosts in
 // the target's data centre have most of them, since parts of others go through
 // them.
-func (g *Gateway) connections(k *catalog.Known, size int) int {
+func (g *Gateway) connections(k *catalog.Known) int {
 	m := g.manifest.Load()
 	if m == nil {
 		return 1
@@ -209,7 +215,7 @@
 	if k.DataCentre == g.dataCentre {
 		return max(1, int(nearShare*float64(s.Connections))/g.fleet.Near())
 	}
-	return max(1, int(farShare*float64(s.Connections))/size)
+	return max(1, int(farShare*float64(s.Connections))/g.fleet.Far())
 }
 
 // window returns the retry budget of a service.
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -171,6 +171,7 @@
 func (r *run) direct(now time.Time, s search.Send) {
 	k := r.g.catalog.Get(s.Target)
 	token := r.g.board.Begin(now, s.Target, r.usual)
+	r.g.parts.Add(1)
 	go r.send(s, exchange.Target{ID: k.ID, Address: k.Address}, token)
 }
 
--- a/internal/serving/gateway/through.go
+++ b/internal/serving/gateway/through.go
@@ -174,6 +174,7 @@
 		return exchange.Reply{Outcome: search.NotSent, Reason: reasonUnusable, Local: true}
 	}
 	g.tally.Add("relay-forwarded", 1)
+	g.parts.Add(1)
 	return g.pool.Do(ctx, exchange.Target{ID: k.ID, Address: k.Address}, a, func() time.Duration {
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- a/internal/serving/station/addresses.go
+++ b/internal/serving/station/addresses.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"fescuerill/host"
@@ -28,7 +27,7 @@
 // keepRecord keeps the host's record in the store and meets the hosts that have
 // one.
 func (s *Station) keepRecord(ctx context.Context, self peers.Self) {
-	record := peers.Host{Address: self.Address, DataCentre: self.DataCentre, Incarnation: self.Incarnation}
+	record := peers.Host{Address: self.Address, DataCentre: self.DataCentre, Incarnation: self.Incarnation, Cores: self.Cores}
 	met := false
 	for ctx.Err() == nil {
 		wait := recordEach
@@ -59,7 +58,7 @@
 	for _, h := range hosts {
 		s.peers.Met(h)
 	}
-	s.peers.Listed()
+	s.peers.SetListed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.recorded, s.recordedAt = hosts, time.Now()
@@ -106,20 +105,16 @@
 			return elsewhere, valid
 		}
 	}
-	_, port, err := net.SplitHostPort(s.settings.Front)
-	if err != nil {
-		return nil, 0
-	}
 	var hosts []directory.Host
 	if s.Ready() {
-		hosts = append(hosts, directory.Host{Address: s.settings.Front, DataCentre: s.settings.DataCentre})
+		hosts = append(hosts, directory.Host{Address: s.settings.Peer, DataCentre: s.settings.DataCentre, Cores: s.settings.Cores})
 	}
 	s.peers.Each(func(h peers.Host) {
-		ip, _, err := net.SplitHostPort(h.Address)
-		if err == nil && h.State == host.Alive {
-			hosts = append(hosts, directory.Host{Address: net.JoinHostPort(ip, port), DataCentre: h.DataCentre})
+		if h.State == host.Alive {
+			hosts = append(hosts, hostOf(h))
 		}
 	})
+	hosts = s.fronts(hosts)
 	coverage := map[string]float64{}
 	s.gateway.Coverage(func(dataCentre string, share float64) { coverage[dataCentre] = share })
 	s.mu.Lock()
@@ -127,19 +122,23 @@
 	return directory.Choose(nil, dataCentre, hosts, coverage, addressesMost, s.random), valid
 }
 
+// fronts returns the hosts that are to carry callers, with the addresses for callers.
+func (s *Station) fronts(hosts []directory.Host) []directory.Host {
+	chosen := directory.Active(nil, hosts, s.share(time.Now(), hosts))
+	for i := range chosen {
+		chosen[i].Address = s.at(chosen[i].Address, s.settings.Front)
+	}
+	return chosen
+}
+
 // elsewhere returns the front addresses of hosts in other data centres that are
 // likely up though this host does not hear them: those with a record in the store,
 // or, if the store is cut off as well, those that were heard before.
 func (s *Station) elsewhere() []string {
-	_, port, err := net.SplitHostPort(s.settings.Front)
-	if err != nil {
-		return nil
-	}
 	var all []directory.Host
 	add := func(h peers.Host) {
-		ip, _, err := net.SplitHostPort(h.Address)
-		if err == nil && h.DataCentre != s.settings.DataCentre {
-			all = append(all, directory.Host{Address: net.JoinHostPort(ip, port), DataCentre: h.DataCentre})
+		if h.DataCentre != s.settings.DataCentre {
+			all = append(all, hostOf(h))
 		}
 	}
 	if !s.feed.State(time.Now()).Reached {
@@ -152,5 +151,5 @@
 			add(h)
 		}
 	}
-	return directory.Choose(nil, s.settings.DataCentre, all, nil, addressesMost, s.random)
+	return directory.Choose(nil, s.settings.DataCentre, s.fronts(all), nil, addressesMost, s.random)
 }
--- a/internal/serving/station/settings.go
+++ b/internal/serving/station/settings.go
@@ -24,6 +24,8 @@
 	Relay string
 	// Metrics is where counters are served.
 	Metrics string
+	// Cores is the processor cores that the process may use; 0 if that is not known.
+	Cores float64
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64
 	// Grace is the time between the request to stop and the end of the process.
--- a/internal/serving/station/station.go
+++ b/internal/serving/station/station.go
@@ -76,6 +76,7 @@
 	idle     idleConns
 	cancel   context.CancelFunc
 	stopping atomic.Bool
+	active   atomic.Pointer[active]
 	// asked is when the last request came, in nanoseconds since began.
 	asked atomic.Int64
 	began time.Time
@@ -123,11 +124,12 @@
 	}
 	self := peers.Self{
 		Address: s.settings.Peer, DataCentre: s.settings.DataCentre,
-		Incarnation: strconv.FormatUint(rand.Uint64(), 36),
+		Incarnation: strconv.FormatUint(rand.Uint64(), 36), Cores: s.settings.Cores,
 	}
 	s.peers = peers.Start(ctx, self, datagrams, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), s.log, s.tally)
+	s.active.Store(s.look(time.Now()))
 	s.gateway = gateway.New(ctx, gateway.Options{
-		DataCentre: s.settings.DataCentre, Fleet: s.view(), Decoder: s.platform, Dialect: s.platform,
+		DataCentre: s.settings.DataCentre, Fleet: fleet{Peers: s.peers, station: s}, Decoder: s.platform, Dialect: s.platform,
 		Dial: exchange.DialTCP, Bounds: s.settings.Bounds,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: s.log, Tally: s.tally,
 	})
@@ -145,39 +147,10 @@
 	s.done.Go(func() { s.gateway.Housekeep(ctx) })
 	s.done.Go(func() { s.keepRecord(ctx, self) })
 	s.done.Go(func() { s.endIdle(ctx) })
+	s.done.Go(func() { s.keepLooking(ctx) })
 	return s.listen(ctx)
 }
 
-// view returns the fleet as the gateway sees it.
-func (s *Station) view() gateway.Fleet {
-	_, port, err := net.SplitHostPort(s.settings.Relay)
-	if err != nil {
-		return fleet{Peers: s.peers}
-	}
-	return fleet{Peers: s.peers, relayPort: port}
-}
-
-// fleet is the other hosts, with where they take parts. The ports are the same on
-// all hosts.
-type fleet struct {
-	*peers.Peers
-	relayPort string
-}
-
-// Relays implements gateway.Fleet.
-func (f fleet) Relays(dst []string, dataCentre string) []string {
-	if f.relayPort == "" {
-		return dst
-	}
-	f.Each(func(h peers.Host) {
-		ip, _, err := net.SplitHostPort(h.Address)
-		if err == nil && h.State == host.Alive && h.DataCentre == dataCentre {
-			dst = append(dst, net.JoinHostPort(ip, f.relayPort))
-		}
-	})
-	return dst
-}
-
 func (s *Station) listen(ctx context.Context) error {
 	s.front = &http.Server{
 		Handler:           s.platform.Front(s),
