Renew records of standby hosts seldom, meet hosts through the feed

Hosts that lost each other for longer than 20 s never met again, since they read the records once. Change: standby hosts renew each 6 s, their records live for 20 s and say that they stand by; the news of records that guides read anyway lets hosts meet; all read the records once a minute. When to renew and to read is decided by peers.Records.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -40,7 +40,9 @@
 	Incarnation string
 	// Cores is the processor cores that it may use.
 	Cores float64
-	State host.State
+	// Carrier says, of a record in the store, that the host carries callers.
+	Carrier bool
+	State   host.State
 }
 
 // Self is what this host tells the others of itself.
--- /dev/null
+++ b/internal/fleet/peers/records.go
@@ -0,0 +1,63 @@
+package peers
+
+import "time"
+
+const (
+	// renewCarrier and renewStandby are how often hosts look after their records, and
+	// CarrierValid and StandbyValid how long those outlive their last renewal. The
+	// records of hosts that carry callers are relied on when a data centre is cut off,
+	// so that they must not outlive their hosts for long.
+	renewCarrier = 1500 * time.Millisecond
+	renewStandby = 6 * time.Second
+	CarrierValid = 5 * time.Second
+	StandbyValid = 20 * time.Second
+	// readCut is how often the records are read while the data centre is cut off or
+	// before they were read for the first time, and readCalm how often otherwise:
+	// hosts that lost each other for long have forgotten each other.
+	readCut  = time.Second
+	readCalm = time.Minute
+)
+
+// Records decides when a host renews its record in the store and reads those of the
+// other hosts. The zero value is ready.
+type Records struct {
+	carrier       bool
+	renewed, read time.Time
+	known         bool
+}
+
+// Renew reports whether the record is to be renewed now. carrier says that the host
+// carries callers, which the record says as well.
+func (r *Records) Renew(now time.Time, carrier bool) bool {
+	period := renewStandby
+	if carrier {
+		period = renewCarrier
+	}
+	if !r.renewed.IsZero() && carrier == r.carrier && now.Sub(r.renewed) < period {
+		return false
+	}
+	r.renewed, r.carrier = now, carrier
+	return true
+}
+
+// Lost takes that the record could not be renewed, so that it is tried again soon.
+func (r *Records) Lost(now time.Time) {
+	r.renewed = now.Add(renewCarrier - renewStandby)
+}
+
+// Read reports whether the records are to be read now. cut says that the data centre
+// is cut off.
+func (r *Records) Read(now time.Time, cut bool) bool {
+	period := readCalm
+	if cut || !r.known {
+		period = readCut
+	}
+	if !r.read.IsZero() && now.Sub(r.read) < period {
+		return false
+	}
+	r.read = now
+	return true
+}
+
+// Known takes that the records have been read.
+func (r *Records) Known() { r.known = true }
--- /dev/null
+++ b/internal/fleet/peers/records_test.go
@@ -0,0 +1,64 @@
+package peers_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"fescuerill/internal/fleet/peers"
+)
+
+// calls returns how often a record is renewed and the others are read in a time, when
+// looked after each quarter of a second.
+func calls(r *peers.Records, from time.Time, span time.Duration, carrier, cut bool) (renewed, read int) {
+	for now := from; now.Before(from.Add(span)); now = now.Add(250 * time.Millisecond) {
+		if r.Renew(now, carrier) {
+			renewed++
+		}
+		if r.Read(now, cut) {
+			read++
+		}
+	}
+	return renewed, read
+}
+
+func TestRecordsAreRenewedByRole(t *testing.T) {
+	began := time.Unix(1_700_000_000, 0)
+	tests := map[string]struct {
+		carrier, cut  bool
+		renewed, read int
+	}{
+		"carrier":         {carrier: true, renewed: 80, read: 2},
+		"standby":         {renewed: 20, read: 2},
+		"standby cut off": {cut: true, renewed: 20, read: 120},
+	}
+	for name, test := range tests {
+		var r peers.Records
+		r.Known()
+		renewed, read := calls(&r, began, 2*time.Minute, test.carrier, test.cut)
+		assert.Equal(t, test.renewed, renewed, name)
+		assert.Equal(t, test.read, read, name)
+	}
+}
+
+func TestRecordsAreReadUntilTheyAreKnown(t *testing.T) {
+	began := time.Unix(1_700_000_000, 0)
+	var r peers.Records
+	_, read := calls(&r, began, 10*time.Second, false, false)
+	assert.Equal(t, 10, read)
+	r.Known()
+	_, read = calls(&r, began.Add(10*time.Second), 50*time.Second, false, false)
+	assert.Zero(t, read)
+}
+
+func TestRecordThatChangesOrWasLostIsRenewedSoon(t *testing.T) {
+	began := time.Unix(1_700_000_000, 0)
+	var r peers.Records
+	assert.True(t, r.Renew(began, false))
+	assert.True(t, r.Renew(began.Add(time.Second), true), "carries callers now")
+	assert.True(t, r.Renew(began.Add(1100*time.Millisecond), false))
+	r.Lost(began.Add(1100 * time.Millisecond))
+	assert.False(t, r.Renew(began.Add(2*time.Second), false))
+	assert.True(t, r.Renew(began.Add(2600*time.Millisecond), false))
+}
--- a/internal/schema/fleet/fleet.gen.go
+++ b/internal/schema/fleet/fleet.gen.go
@@ -108,6 +108,9 @@
 
 // What a host keeps in the store about itself.
 type Record struct {
+	// Set if the host carries callers rather than standing by.
+	Carrier bool `json:"carrier"`
+
 	// Processor cores that the host may use.
 	Cores float64 `json:"cores"`
 
--- a/internal/serving/gateway/belief.go
+++ b/internal/serving/gateway/belief.go
@@ -20,6 +20,9 @@
 			g.tally.Add("items-unreadable", 1)
 			g.log.Warn("item not readable", "key", i.Key, "revision", i.Revision, "error", err)
 		}
+		if c.Host != nil {
+			g.fleet.Met(*c.Host)
+		}
 		changes = append(changes, c)
 	}
 	g.mu.Lock()
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"fescuerill/admission"
 	"fescuerill/budget"
 	"fescuerill/internal/fleet/feed"
+	"fescuerill/internal/fleet/peers"
 	"fescuerill/internal/routing/catalog"
 	"fescuerill/internal/routing/manifest"
 	"fescuerill/internal/serving/copies"
@@ -30,6 +31,8 @@
 	// Centre is a data centre that is taken out or, with Back, no longer.
 	Centre string
 	Back   bool
+	// Host is a host that has just put its record into the store.
+	Host *peers.Host
 }
 
 // Decoder reads items of the store.
@@ -48,6 +51,8 @@
 	// divided, of the data centre of this one and of all.
 	Near() int
 	Far() int
+	// Met takes a host that has a record in the store.
+	Met(peers.Host)
 	// Rank returns how many live hosts come before this one for something.
 	Rank(something string) int
 	// Relays appends to dst where the live hosts of another data centre take
--- a/internal/serving/station/active.go
+++ b/internal/serving/station/active.go
@@ -28,6 +28,8 @@
 	// others are the peer addresses of those of this data centre, but for this host,
 	// if not all hosts carry callers.
 	others []string
+	// carrier says that this host carries callers.
+	carrier bool
 }
 
 // look works out which hosts carry callers.
@@ -46,7 +48,6 @@
 	}
 	chosen := directory.Active(nil, known, s.share(now, known))
 	a := &active{relays: map[string][]string{}}
-	carries := false
 	for _, h := range chosen {
 		a.all++
 		if h.DataCentre == s.settings.DataCentre {
@@ -54,7 +55,7 @@
 		}
 		switch {
 		case h.Address == s.settings.Peer:
-			carries = true
+			a.carrier = true
 		case h.DataCentre != s.settings.DataCentre:
 			if relay := s.at(h.Address, s.settings.Relay); relay != "" {
 				a.relays[h.DataCentre] = append(a.relays[h.DataCentre], relay)
@@ -63,7 +64,7 @@
 			a.others = append(a.others, h.Address)
 		}
 	}
-	if !carries {
+	if !a.carrier {
 		a.near, a.all = max(1, alive), max(1, alive)
 	}
 	return a
--- a/internal/serving/station/addresses.go
+++ b/internal/serving/station/addresses.go
@@ -15,7 +15,7 @@
 	// answerValid is how long callers may keep the addresses of hosts.
 	answerValid = time.Second
 	// recordEach is how often the host looks after its record in the store.
-	recordEach = 1500 * time.Millisecond
+	recordEach = 500 * time.Millisecond
 	// checkEach and checkMost are how often and how many hosts of other data centres
 	// are probed out of turn while most searches fail.
 	checkEach = time.Second
@@ -28,22 +28,24 @@
 // one.
 func (s *Station) keepRecord(ctx context.Context, self peers.Self) {
 	record := peers.Host{Address: self.Address, DataCentre: self.DataCentre, Incarnation: self.Incarnation, Cores: self.Cores}
-	met := false
+	var duty peers.Records
+	t := time.NewTicker(recordEach)
+	defer t.Stop()
 	for ctx.Err() == nil {
-		wait := recordEach
-		if err := s.platform.Record(ctx, record); err != nil && ctx.Err() == nil {
-			s.tally.Add("record-failures", 1)
-			s.log.Debug("record not kept", "error", err)
+		record.Carrier = s.active.Load().carrier
+		if duty.Renew(time.Now(), record.Carrier) {
+			if err := s.platform.Record(ctx, record); err != nil && ctx.Err() == nil {
+				s.tally.Add("record-failures", 1)
+				s.log.Debug("record not kept", "error", err)
+				duty.Lost(time.Now())
+			}
 		}
-		if cut := s.cutOff(); cut || !met {
-			met = s.meet(ctx) || met
-			wait = time.Second
+		if duty.Read(time.Now(), s.cutOff()) && s.meet(ctx) {
+			duty.Known()
 		}
-		t := time.NewTimer(wait)
 		select {
 		case <-t.C:
 		case <-ctx.Done():
-			t.Stop()
 		}
 	}
 }
@@ -148,7 +150,9 @@
 	defer s.mu.Unlock()
 	if len(all) == 0 && time.Since(s.recordedAt) <= recordsValid {
 		for _, h := range s.recorded {
-			add(h)
+			if h.Carrier {
+				add(h)
+			}
 		}
 	}
 	return directory.Choose(nil, s.settings.DataCentre, s.fronts(all), nil, addressesMost, s.random)
