Take a data centre of which nothing is heard for lost as a whole

Change: when a host of another data centre does not answer, four others of it are probed; if nothing is heard of it within half a second, all its hosts are suspect until each is heard itself. With the first message from it all are probed, up to four times. Decided by peers.Outages, without I/O.

--- /dev/null
+++ b/internal/fleet/peers/outage_test.go
@@ -0,0 +1,81 @@
+package peers_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"fescuerill/host"
+	"fescuerill/internal/fleet/peers"
+)
+
+func TestDataCentreIsLostWhenNoneOfItsHostsIsHeard(t *testing.T) {
+	began := time.Unix(1_700_000_000, 0)
+	at := func(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
+	var o peers.Outages
+	assert.False(t, o.Judge(at(0), "b"), "not doubted")
+	o.Heard(at(0), "b", "b1")
+	o.Heard(at(0), "b", "b2")
+	assert.False(t, o.Doubt(at(100), "b"), "just heard")
+	assert.True(t, o.Doubt(at(1000), "b"))
+	assert.False(t, o.Doubt(at(1100), "b"), "its hosts are being probed")
+	assert.False(t, o.Judge(at(1300), "b"), "too soon")
+	assert.True(t, o.Judge(at(1500), "b"))
+	assert.False(t, o.Judge(at(1600), "b"), "known")
+	assert.True(t, o.Lost("b", "b1"))
+	assert.True(t, o.Lost("b", "b2"))
+	assert.False(t, o.Lost("a", "a1"))
+	assert.True(t, o.Heard(at(9000), "b", "b1"))
+	assert.False(t, o.Lost("b", "b1"))
+	assert.True(t, o.Lost("b", "b2"), "not heard itself")
+	assert.False(t, o.Heard(at(9010), "b", "b2"))
+	assert.False(t, o.Lost("b", "b2"))
+}
+
+func TestOneHostThatFailsIsNotTheDataCentre(t *testing.T) {
+	began := time.Unix(1_700_000_000, 0)
+	var o peers.Outages
+	for i := range 20 {
+		now := began.Add(time.Duration(i) * 2 * time.Second)
+		assert.True(t, o.Doubt(now, "b"))
+		o.Heard(now.Add(time.Millisecond), "b", "b1")
+		assert.False(t, o.Judge(now.Add(500*time.Millisecond), "b"))
+	}
+}
+
+// TestLostDataCentreIsNoticedAtOnce cuts off half of a fleet. The others must not take
+// as long as single probes of each host do.
+func TestLostDataCentreIsNoticedAtOnce(t *testing.T) {
+	const noticedBy = 5 * time.Second
+	all := fleet(t, 40)
+	alive := func(m *member, centre string) int {
+		n := 0
+		m.Each(func(h peers.Host) {
+			if h.DataCentre == centre && h.State == host.Alive {
+				n++
+			}
+		})
+		return n
+	}
+	require.Eventually(t, func() bool { return alive(all[0], "b") == 20 }, 3*time.Second, 10*time.Millisecond)
+	time.Sleep(time.Second)
+	for i := 1; i < len(all); i += 2 {
+		all[i].conn.cut.Store(true)
+	}
+	cut := time.Now()
+	for i := 0; i < len(all); i += 2 {
+		assert.Eventually(t, func() bool { return alive(all[i], "b") == 0 }, 6*time.Second, 10*time.Millisecond, fmt.Sprint("host ", i))
+	}
+	assert.Less(t, time.Since(cut), noticedBy)
+	for i := 1; i < len(all); i += 2 {
+		all[i].conn.cut.Store(false)
+	}
+	back := time.Now()
+	for i := 0; i < len(all); i += 2 {
+		assert.Eventually(t, func() bool { return alive(all[i], "b") >= 18 }, 6*time.Second, 10*time.Millisecond, fmt.Sprint("host ", i))
+	}
+	assert.Less(t, time.Since(back), noticedBy)
+}
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -68,6 +68,7 @@
 	centres map[string]string
 	cores   map[string]float64
 	loads   loads
+	outages Outages
 	greeted map[string]time.Time
 	gone    map[string]time.Time
 	began   time.Time
@@ -171,10 +172,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.members.Each(func(n host.News) {
-		f(Host{Address: n.ID, DataCentre: p.centres[n.ID], Incarnation: n.Incarnation, Cores: p.cores[n.ID], State: n.State})
+		f(Host{Address: n.ID, DataCentre: p.centres[n.ID], Incarnation: n.Incarnation, Cores: p.cores[n.ID], State: p.state(n)})
 	})
 }
 
+// state returns the state of a host; one that is lost with its data centre is suspect.
+// Peers is locked.
+func (p *Peers) state(n host.News) host.State {
+	if n.State == host.Alive && p.outages.Lost(p.centres[n.ID], n.ID) {
+		return host.Suspect
+	}
+	return n.State
+}
+
 // Size returns the number of hosts of the fleet, with this one and those that
 // died lately.
 func (p *Peers) Size() int {
@@ -241,6 +251,7 @@
 		for _, dead := range p.members.Forget(now, forgetAfter, nil) {
 			delete(p.centres, dead)
 			delete(p.cores, dead)
+			p.outages.Forget(dead)
 		}
 		wait := p.members.Next().Sub(now)
 		p.mu.Unlock()
@@ -277,6 +288,9 @@
 		if old == host.Dead {
 			delete(p.gone, n.ID)
 		}
+		if n.State == host.Suspect {
+			go p.doubt(n.ID)
+		}
 		p.tally.Add("host-"+n.State.String(), 1)
 		p.log.Info("host state", "host", n.ID, "before", old.String(), "state", n.State.String(), "version", n.Version)
 	})
@@ -304,6 +318,7 @@
 	if !open || p.ctx.Err() != nil {
 		return
 	}
+	p.doubt(about)
 	for _, h := range helpers {
 		p.send(h, fleet.MessageKindForward, mine, about)
 	}
@@ -320,12 +335,73 @@
 	if asker != "" {
 		return
 	}
+	if p.outages.Out(p.centres[about]) {
+		return
+	}
 	now := time.Now()
 	before := p.states()
 	p.members.Failed(now, about)
 	p.report(before, now)
 }
 
+// doubt takes that a host does not answer: the reason may be that its whole data
+// centre is lost.
+func (p *Peers) doubt(about string) {
+	p.mu.Lock()
+	centre := p.centres[about]
+	hosts := p.hostsOf(centre)
+	ask := centre != p.self.DataCentre && len(hosts) >= outageLeast && p.outages.Doubt(time.Now(), centre)
+	p.mu.Unlock()
+	if !ask {
+		return
+	}
+	for _, h := range hosts[:min(len(hosts), doubtProbes)] {
+		p.probe(h, "", 0)
+	}
+	time.AfterFunc(doubtTime, func() { p.judge(centre) })
+}
+
+// hostsOf returns the hosts of a data centre that were alive when last heard, in no
+// order. Peers is locked.
+func (p *Peers) hostsOf(centre string) []string {
+	var all []string
+	p.members.Each(func(n host.News) {
+		if p.centres[n.ID] == centre && n.State == host.Alive {
+			all = append(all, n.ID)
+		}
+	})
+	return all
+}
+
+func (p *Peers) judge(centre string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ctx.Err() == nil && p.outages.Judge(time.Now(), centre) {
+		p.tally.Add("data-centres-lost", 1)
+		p.log.Warn("data centre lost", "data-centre", centre, "hosts", len(p.hostsOf(centre)))
+	}
+}
+
+// back probes the hosts of a data centre that was lost, to learn which are there;
+// those that are not heard are probed a few times more.
+func (p *Peers) back(centre string, round int) {
+	var silent []string
+	p.mu.Lock()
+	p.members.Each(func(n host.News) {
+		if p.centres[n.ID] == centre && p.state(n) != host.Alive {
+			silent = append(silent, n.ID)
+		}
+	})
+	p.mu.Unlock()
+	if round == 1 {
+		p.log.Info("data centre back", "data-centre", centre, "silent", len(silent))
+	}
+	p.Greet(silent)
+	if round < backRounds && p.ctx.Err() == nil {
+		time.AfterFunc(doubtTime, func() { p.back(centre, round+1) })
+	}
+}
+
 func (p *Peers) send(to string, kind fleet.MessageKind, number int, about string) {
 	p.mu.Lock()
 	m := fleet.Message{
@@ -389,6 +465,7 @@
 	before := p.states()
 	fresh := p.meet(now, Host{Address: m.From, DataCentre: m.DataCentre, Incarnation: m.Incarnation, Cores: m.Cores})
 	p.members.Hear(now, m.From, newsOf(m.News))
+	back := p.outages.Heard(now, m.DataCentre, m.From)
 	p.report(before, now)
 	var done probe
 	if m.Kind == fleet.MessageKindAnswer {
@@ -396,6 +473,9 @@
 		delete(p.pending, m.Number)
 	}
 	p.mu.Unlock()
+	if back {
+		p.back(m.DataCentre, 1)
+	}
 	switch {
 	case m.Kind == fleet.MessageKindProbe:
 		p.send(m.From, fleet.MessageKindAnswer, m.Number, "")
--- a/internal/fleet/peers/tell.go
+++ b/internal/fleet/peers/tell.go
@@ -122,7 +122,7 @@
 	defer p.mu.Unlock()
 	sizes := map[string]int{p.self.DataCentre: 1}
 	p.members.Each(func(n host.News) {
-		if n.State == host.Alive {
+		if p.state(n) == host.Alive {
 			sizes[p.centres[n.ID]]++
 		}
 	})
@@ -135,7 +135,7 @@
 	mine := group(p.self.DataCentre)
 	best := p.self.Address
 	p.members.Each(func(n host.News) {
-		if n.State == host.Alive && group(p.centres[n.ID]) == mine && owner.Weight(mine, n.ID) > owner.Weight(mine, best) {
+		if p.state(n) == host.Alive && group(p.centres[n.ID]) == mine && owner.Weight(mine, n.ID) > owner.Weight(mine, best) {
 			best = n.ID
 		}
 	})
