Spare calls of the store: guides with most cores, records that live longer

Records were leased twice at the start, since each host first takes itself for one that carries callers, and standby hosts renewed theirs each 6 s. Change: the guide is one of the hosts with most cores; a record says that its host carries callers once it has done so for 2 s; standby hosts renew each 18 s, others each 2 s; records are read as they may be seconds old, but for the first time and while cut off. Of hosts that carry callers two are enough where the others have less than half of their cores: an answer of 90 parts takes four times longer there.

--- a/internal/fleet/directory/active.go
+++ b/internal/fleet/directory/active.go
@@ -9,8 +9,12 @@
 
 const (
 	// activeLeast is the number of hosts of a data centre that carry its callers, if
-	// there are so many, so that no host is needed.
+	// there are so many, so that no host is needed. Of large hosts activeLarge are
+	// enough beside much smaller ones, of which smallShare says how small they are: an
+	// answer takes longer on those.
 	activeLeast = 3
+	activeLarge = 2
+	smallShare  = 0.5
 	// activeShare is the share of the cores of a data centre that carry its callers
 	// while there is little load, so that a sudden one finds room.
 	activeShare = 0.3
@@ -44,8 +48,14 @@
 	})
 	count := map[string]int{}
 	taken := map[string]float64{}
+	largest := map[string]float64{}
 	for _, h := range ordered {
-		if count[h.DataCentre] >= activeLeast && taken[h.DataCentre] >= share*cores[h.DataCentre] {
+		largest[h.DataCentre] = max(largest[h.DataCentre], h.Cores)
+		least := activeLeast
+		if h.Cores < smallShare*largest[h.DataCentre] {
+			least = activeLarge
+		}
+		if count[h.DataCentre] >= least && taken[h.DataCentre] >= share*cores[h.DataCentre] {
 			continue
 		}
 		count[h.DataCentre]++
--- a/internal/fleet/peers/records.go
+++ b/internal/fleet/peers/records.go
@@ -7,10 +7,15 @@
 	// CarrierValid and StandbyValid how long those outlive their last renewal. The
 	// records of hosts that carry callers are relied on when a data centre is cut off,
 	// so that they must not outlive their hosts for long.
-	renewCarrier = 1500 * time.Millisecond
-	renewStandby = 6 * time.Second
-	CarrierValid = 5 * time.Second
-	StandbyValid = 20 * time.Second
+	renewCarrier = 2 * time.Second
+	renewStandby = 18 * time.Second
+	CarrierValid = 6 * time.Second
+	StandbyValid = time.Minute
+	// settleTime is for how long a host carries callers before its record says so: one
+	// that has just started does not yet know those that do.
+	settleTime = 2 * time.Second
+	// retryRenew is when a renewal that failed is tried again.
+	retryRenew = 1500 * time.Millisecond
 	// readCut is how often the records are read while the data centre is cut off or
 	// before they were read for the first time, and readCalm how often otherwise:
 	// hosts that lost each other for long have forgotten each other.
@@ -22,12 +27,24 @@
 // other hosts. The zero value is ready.
 type Records struct {
 	carrier       bool
+	chosen        time.Time
 	renewed, read time.Time
 	known         bool
 }
 
-// Renew reports whether the record is to be renewed now. carrier says that the host
-// carries callers, which the record says as well.
+// Carrier reports whether the record is to say that the host carries callers. chosen
+// says that it does now.
+func (r *Records) Carrier(now time.Time, chosen bool) bool {
+	switch {
+	case !chosen:
+		r.chosen = time.Time{}
+	case r.chosen.IsZero():
+		r.chosen = now
+	}
+	return chosen && now.Sub(r.chosen) >= settleTime
+}
+
+// Renew reports whether the record is to be renewed now. carrier is what it is to say.
 func (r *Records) Renew(now time.Time, carrier bool) bool {
 	period := renewStandby
 	if carrier {
@@ -42,7 +59,11 @@
 
 // Lost takes that the record could not be renewed, so that it is tried again soon.
 func (r *Records) Lost(now time.Time) {
-	r.renewed = now.Add(renewCarrier - renewStandby)
+	period := renewStandby
+	if r.carrier {
+		period = renewCarrier
+	}
+	r.renewed = now.Add(retryRenew - period)
 }
 
 // Read reports whether the records are to be read now. cut says that the data centre
--- a/internal/fleet/peers/tell.go
+++ b/internal/fleet/peers/tell.go
@@ -116,7 +116,8 @@
 }
 
 // guide returns the host that reads the store for this one, if it is another one.
-// A data centre with enough hosts has a guide of its own, the others share one.
+// A data centre with enough hosts has a guide of its own, the others share one. It is
+// one of those with most cores, as it tells all others of each change.
 func (p *Peers) guide() (string, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -133,10 +134,14 @@
 		return ""
 	}
 	mine := group(p.self.DataCentre)
-	best := p.self.Address
+	best, cores := p.self.Address, p.self.Cores
 	p.members.Each(func(n host.News) {
-		if p.state(n) == host.Alive && group(p.centres[n.ID]) == mine && owner.Weight(mine, n.ID) > owner.Weight(mine, best) {
-			best = n.ID
+		if p.state(n) != host.Alive || group(p.centres[n.ID]) != mine {
+			return
+		}
+		c := p.cores[n.ID]
+		if c > cores || c == cores && owner.Weight(mine, n.ID) > owner.Weight(mine, best) {
+			best, cores = n.ID, c
 		}
 	})
 	return best, best != p.self.Address
--- a/internal/serving/station/addresses.go
+++ b/internal/serving/station/addresses.go
@@ -29,10 +29,11 @@
 func (s *Station) keepRecord(ctx context.Context, self peers.Self) {
 	record := peers.Host{Address: self.Address, DataCentre: self.DataCentre, Incarnation: self.Incarnation, Cores: self.Cores}
 	var duty peers.Records
+	known := false
 	t := time.NewTicker(recordEach)
 	defer t.Stop()
 	for ctx.Err() == nil {
-		record.Carrier = s.active.Load().carrier
+		record.Carrier = duty.Carrier(time.Now(), s.active.Load().carrier)
 		if duty.Renew(time.Now(), record.Carrier) {
 			if err := s.platform.Record(ctx, record); err != nil && ctx.Err() == nil {
 				s.tally.Add("record-failures", 1)
@@ -40,8 +41,9 @@
 				duty.Lost(time.Now())
 			}
 		}
-		if duty.Read(time.Now(), s.cutOff()) && s.meet(ctx) {
+		if cut := s.cutOff(); duty.Read(time.Now(), cut) && s.meet(ctx, cut || !known) {
 			duty.Known()
+			known = true
 		}
 		select {
 		case <-t.C:
@@ -51,8 +53,8 @@
 }
 
 // meet reads the records of all hosts and reports whether they could be read.
-func (s *Station) meet(ctx context.Context) bool {
-	hosts, err := s.platform.Hosts(ctx)
+func (s *Station) meet(ctx context.Context, fresh bool) bool {
+	hosts, err := s.platform.Hosts(ctx, fresh)
 	if err != nil {
 		s.log.Debug("records of hosts not read", "error", err)
 		return false
--- a/internal/serving/station/station.go
+++ b/internal/serving/station/station.go
@@ -53,8 +53,9 @@
 	exchange.Dialect
 	// Record keeps a record of this host in the store for a while longer.
 	Record(ctx context.Context, h peers.Host) error
-	// Hosts returns the hosts with a record.
-	Hosts(ctx context.Context) ([]peers.Host, error)
+	// Hosts returns the hosts with a record; unless fresh, what it says may be seconds
+	// old.
+	Hosts(ctx context.Context, fresh bool) ([]peers.Host, error)
 	// Front, Ready and Directory return the handlers for callers' requests, for
 	// checks of readiness, and for questions for addresses.
 	Front(s *Station) http.Handler
