Send what may run once over connections that were in use a moment ago

Cause: a target may forget idle connections without notice and reset what is sent next on them. A request that may run once only cannot be sent again then, as it may have run; its caller gets a failure. Change: such requests go over a connection that has been idle for 200 ms at most, or a new one. All others go over any sound one and are sent again. Result: TestRequestThatMayRunOnceGoesOverAConnectionInUse fails without it (outcome unknown after 350 ms idle) and passes with it.

--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -27,6 +27,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Once says that the request may run once only, so that it cannot be sent again
+	// when the target has dropped the connection.
+	Once bool
 }
 
 // Reply is how a send ended.
--- a/internal/serving/exchange/pool.go
+++ b/internal/serving/exchange/pool.go
@@ -23,6 +23,9 @@
 	// spareIdle is how long more than one idle connection to a target is kept: a
 	// target may count those of a host that lost its power for long.
 	spareIdle = 2 * time.Second
+	// onceIdle is how long a connection may have been idle on which a request is sent
+	// that may run once only. A target may forget idle connections without notice.
+	onceIdle = 200 * time.Millisecond
 	// overtime is how much longer than its time limit a target may take to
 	// answer.
 	overtime = 350 * time.Millisecond
@@ -136,8 +139,9 @@
 }
 
 // take returns an idle connection, or nil if one may be opened, or a channel
-// that is closed when it is worth asking again.
-func (p *Pool) take(id string) (*conn, chan struct{}) {
+// that is closed when it is worth asking again. Connections that have been idle for
+// longer than the given time are closed.
+func (p *Pool) take(id string, idle time.Duration) (*conn, chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.lane(id)
@@ -145,7 +149,7 @@
 	for n := len(l.idle); n > 0; n = len(l.idle) {
 		c := l.idle[n-1]
 		l.idle = l.idle[:n-1]
-		if c.sound(now) {
+		if now.Sub(c.used) < idle && c.sound(now) {
 			return c, nil
 		}
 		_ = c.raw.Close()
@@ -181,9 +185,13 @@
 	}
 }
 
-func (p *Pool) acquire(ctx context.Context, t Target) (*conn, Reply, bool) {
+func (p *Pool) acquire(ctx context.Context, t Target, once bool) (*conn, Reply, bool) {
+	idle := idleMost
+	if once {
+		idle = onceIdle
+	}
 	for {
-		c, wake := p.take(t.ID)
+		c, wake := p.take(t.ID, idle)
 		switch {
 		case c != nil:
 			return c, Reply{}, true
@@ -240,7 +248,7 @@
 // the time left once the request can be written. When ctx ends, the connection
 // is closed, so that the target can stop.
 func (p *Pool) Do(ctx context.Context, t Target, a *Ask, left func() time.Duration) Reply {
-	c, failed, ok := p.acquire(ctx, t)
+	c, failed, ok := p.acquire(ctx, t, a.Once)
 	if !ok {
 		return failed
 	}
--- a/internal/serving/exchange/pool_test.go
+++ b/internal/serving/exchange/pool_test.go
@@ -213,6 +213,52 @@
 	assert.Equal(t, "connect-refused", got.Reason)
 }
 
+// TestRequestThatMayRunOnceGoesOverAConnectionInUse has a target forget connections
+// that were idle for a while and reset what comes on them.
+func TestRequestThatMayRunOnceGoesOverAConnectionInUse(t *testing.T) {
+	const idle = 300 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go forget(c, idle)
+		}
+	}()
+	p := newPool()
+	a := ask("1")
+	to := exchange.Target{ID: "t", Address: l.Addr().String()}
+	for range 3 {
+		a.Once = true
+		got := p.Do(t.Context(), to, a, second)
+		assert.Equal(t, search.Good, got.Outcome, got.Err)
+		time.Sleep(idle + 50*time.Millisecond)
+	}
+	a.Once = false
+	got := p.Do(t.Context(), to, a, second)
+	assert.Equal(t, search.Unknown, got.Outcome, "others are sent again")
+}
+
+// forget answers requests, and resets the connection instead if it was idle.
+func forget(c net.Conn, idle time.Duration) {
+	in := bufio.NewReader(c)
+	for last := time.Now(); ; last = time.Now() {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		if time.Since(last) > idle {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+			return
+		}
+		_, _ = io.WriteString(c, strings.ReplaceAll(whole, "ID", "1"))
+	}
+}
+
 func TestAnswerBeforeALongBodyIsRead(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -103,7 +103,7 @@
 	r.chooser.usual, r.chooser.settle = r.usual, r.plan.Settle
 	r.replies = make([]exchange.Reply, r.plan.Parts)
 	r.ended = make(chan []ended, r.plan.Parts*(r.plan.Attempts+4))
-	r.ask = exchange.Ask{ID: q.ID, Method: q.Method, URI: q.URI, Host: q.Host, Header: q.Header, Body: q.Body}
+	r.ask = exchange.Ask{ID: q.ID, Method: q.Method, URI: q.URI, Host: q.Host, Header: q.Header, Body: q.Body, Once: !route.Repeatable}
 	r.ctx, r.cancel = context.WithCancelCause(context.Background())
 	return r
 }
