Render the header of a request once for all its targets

Cause: each part cloned the caller's header and wrote it field by field: a sixth of the processor time of a send in a profile of searches of 90 parts. Change: the request line and the fields that are the same for all targets are rendered once a request; only the fields for one target are written for each send.

--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,30 @@
 	// Once says that the request may run once only, so that it cannot be sent again
 	// when the target has dropped the connection.
 	Once bool
+
+	render sync.Once
+	common []byte
+}
+
+// start returns the request line and the header fields that are the same for all
+// targets: those that are not among the given ones.
+func (a *Ask) start(own http.Header) []byte {
+	a.render.Do(func() {
+		var b bytes.Buffer
+		b.WriteString(a.Method)
+		b.WriteByte(' ')
+		b.WriteString(a.URI)
+		b.WriteString(" HTTP/1.1\r\nHost: ")
+		b.WriteString(a.Host)
+		b.WriteString("\r\n")
+		except := make(map[string]bool, len(own))
+		for name := range own {
+			except[name] = true
+		}
+		_ = a.Header.WriteSubset(&b, except) // A buffer takes all.
+		a.common = b.Bytes()
+	})
+	return a.common
 }
 
 // Reply is how a send ended.
@@ -57,7 +82,8 @@
 
 // Dialect knows the names that the target expects.
 type Dialect interface {
-	// Prepare sets the header fields of a request to the target.
+	// Prepare sets the header fields of a request that are for the target alone. They
+	// replace those of the caller, and have the same names each time.
 	Prepare(h http.Header, a *Ask, t Target, left time.Duration)
 	// Interpret takes what the header of an answer says and sets the outcome.
 	Interpret(h http.Header, r *Reply)
@@ -97,20 +123,12 @@
 
 // write sends the request over the connection.
 func (c *conn) write(a *Ask, t Target, d Dialect, left time.Duration) error {
-	h := a.Header.Clone()
-	if h == nil {
-		h = http.Header{}
-	}
-	d.Prepare(h, a, t, left)
+	own := http.Header{}
+	d.Prepare(own, a, t, left)
 	b := &c.out
 	b.Reset()
-	b.WriteString(a.Method)
-	b.WriteByte(' ')
-	b.WriteString(a.URI)
-	b.WriteString(" HTTP/1.1\r\nHost: ")
-	b.WriteString(a.Host)
-	b.WriteString("\r\n")
-	if err := h.Write(b); err != nil {
+	b.Write(a.start(own))
+	if err := own.Write(b); err != nil {
 		return err
 	}
 	if len(a.Body) > 0 || a.Method == http.MethodPost || a.Method == http.MethodPut {
