End requests that come late in the grace of a host before the host ends

Change: a host that stops gives what still comes no more time than it has itself, and refuses it in the last quarter of a second, or the aim of its route.

--- a/internal/serving/gateway/bounds.go
+++ b/internal/serving/gateway/bounds.go
@@ -34,6 +34,9 @@
 	// to come back.
 	retryLeast = 100 * time.Millisecond
 	retryMost  = time.Second
+	// stopLeast is the time before the end of a host below which it takes no more
+	// requests, and the aim of the route if that is longer.
+	stopLeast = 250 * time.Millisecond
 	// startRetry is that time while the host does not know what to serve.
 	startRetry = 300 * time.Millisecond
 	// requestsMost is the number of requests under way at once.
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -74,6 +74,8 @@
 	manifest   atomic.Pointer[manifest.Manifest]
 	running    atomic.Int64
 	parts      atomic.Int64
+	// ends is when the host will have stopped, or nil.
+	ends atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	bounds   Bounds
@@ -159,6 +161,9 @@
 	g.servedAt = now
 }
 
+// EndBy takes that the host stops: requests that still come are ended by then.
+func (g *Gateway) EndBy(at time.Time) { g.ends.Store(&at) }
+
 // Parts returns the number of parts that this host has sent, for itself or for other
 // hosts.
 func (g *Gateway) Parts() int64 { return g.parts.Load() }
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -63,6 +63,9 @@
 		g.log.Info("request", "id", q.ID, "outcome", Unrouted.String(), "host", q.Host, "path", q.Path, "version", m.Version())
 		return Answer{Kind: Unrouted, Reason: "no-route"}
 	}
+	if ends := g.ends.Load(); ends != nil && time.Until(*ends) < max(route.Aim, stopLeast) {
+		return g.refuse(q, route, "stopping", retryLeast)
+	}
 	if g.running.Add(1) > requestsMost {
 		g.running.Add(-1)
 		return g.refuse(q, route, "host-full", retryLeast)
--- a/internal/serving/gateway/timing.go
+++ b/internal/serving/gateway/timing.go
@@ -12,6 +12,9 @@
 		patience = min(patience, t)
 	}
 	r.plan.End = r.request.Arrived.Add(patience)
+	if ends := r.g.ends.Load(); ends != nil && ends.Before(r.plan.End) {
+		r.plan.End = *ends
+	}
 	group := r.route.Name
 	r.usual = r.g.latencies.Quantile(group, 0.5)
 	late := r.g.latencies.Quantile(group, hedgeQuantile)
--- a/internal/serving/station/station.go
+++ b/internal/serving/station/station.go
@@ -225,6 +225,7 @@
 	s.peers.Leave()
 	known := began.Add(patienceFactor*answerValid + quietTime/2)
 	end := began.Add(max(stopMargin, s.settings.Grace-stopMargin))
+	s.gateway.EndBy(end)
 	for now := time.Now(); now.Before(end) && ctx.Err() == nil; now = time.Now() {
 		quiet := now.Sub(s.began) - time.Duration(s.asked.Load())
 		if now.After(known) && s.gateway.Running() == 0 && quiet > quietTime {
