Tell a host what vanished before its new guide had started

A guide was stopped and another host, which had just read everything, took its place. It knew no item that had vanished before, and told the others only the changes after their revision: two targets that had gone in between stayed known to four hosts of six until the next whole reading. Change: a host that reads everything answers those that know less than that revision with everything. Result: TestGuideThatHasJustReadEverythingTellsWhatIsGone failed and passes.

--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -64,6 +64,7 @@
 		<-done
 	}()
 	log := slog.New(slog.NewTextHandler(book, nil))
+	slog.SetDefault(log)
 	s, err := station.Start(settings, platform.NewClient(store), log, &tally.Tally{})
 	if err != nil {
 		log.Error("not started", "error", err)
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -249,6 +249,8 @@
 	var news []Item
 	if whole {
 		news = f.vanished(items)
+		// What came and vanished before is not known here.
+		f.floor = max(f.floor, f.cursor.Revision())
 	}
 	for _, i := range items {
 		if i.Revision <= f.items[i.Key].Revision {
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -232,3 +232,30 @@
 		assert.Len(t, whole.Items, 2)
 	})
 }
+
+// TestGuideThatHasJustReadEverythingTellsWhatIsGone has a host follow a guide that is
+// replaced by one that started after an item had vanished, and never saw it.
+func TestGuideThatHasJustReadEverythingTellsWhatIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &store{items: map[string]feed.Item{}}
+		s.write("a", "1")
+		s.write("b", "1")
+		before := follow(ctx, s, &neighbour{})
+		time.Sleep(10 * time.Millisecond)
+		guide := &neighbour{feed: &before.Feed, guide: true}
+		r := follow(ctx, s, guide)
+		time.Sleep(600 * time.Millisecond)
+		assert.Equal(t, "1", r.sink.get("b"))
+
+		s.write("b", "")
+		s.write("a", "2")
+		after := follow(ctx, s, &neighbour{})
+		time.Sleep(time.Millisecond)
+		guide.feed = &after.Feed
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, "2", r.sink.get("a"))
+		assert.Empty(t, r.sink.get("b"))
+	})
+}
