--- a/internal/serving/station/active.go
+++ b/internal/serving/station/active.go
@@ -89,7 +89,7 @@
 }
 
 // share returns the share of the cores that carry callers: all of them while the load
-// is not known.
+// is not known. Other data centres are taken to be as busy as this one.
 func (s *Station) share(now time.Time, known []directory.Host) float64 {
 	parts, ok := s.peers.Load(now)
 	if !ok {
