Tell other hosts only the trouble that the store had for who read it

The store turned three hosts of a data centre away. They learnt from others that a target had gone, but told the fourth host, and each other, that the store had trouble: so it kept the target as one that may come back, until 3.03 s after it had left. Change: a host that the store does not serve tells the trouble that those had who told it, not its own.

--- a/internal/fleet/feed/cursor.go
+++ b/internal/fleet/feed/cursor.go
@@ -45,6 +45,8 @@
 	next     time.Time
 	heard    time.Time
 	trouble  time.Time
+	// told is when the store last had trouble for the hosts that told this one.
+	told     time.Time
 	distrust time.Time
 }
 
@@ -60,6 +62,16 @@
 // Trouble returns when the store last had trouble, or zero.
 func (c *Cursor) Trouble() time.Time { return c.trouble }
 
+// SourceTrouble returns when the store last had trouble for whoever read what is known
+// here, or zero. A host that the store does not serve knows it from others, for whom it
+// may be well.
+func (c *Cursor) SourceTrouble() time.Time {
+	if c.failures > 0 {
+		return c.told
+	}
+	return c.trouble
+}
+
 // Reached reports whether the last call to the store was answered.
 func (c *Cursor) Reached() bool { return c.failures == 0 && c.listed }
 
@@ -99,6 +111,9 @@
 func (c *Cursor) Told(began, now time.Time, revision int64, age time.Duration, trouble time.Time) {
 	c.revision = max(c.revision, revision)
 	c.listed = true
+	if trouble.After(c.told) {
+		c.told = trouble
+	}
 	if trouble.After(c.trouble) {
 		c.trouble = trouble
 	}
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -307,7 +307,7 @@
 	}
 	t := Told{
 		Revision: f.cursor.Revision(), Whole: whole || after < f.floor,
-		Age: now.Sub(f.cursor.Heard()), Trouble: f.cursor.Trouble(),
+		Age: now.Sub(f.cursor.Heard()), Trouble: f.cursor.SourceTrouble(),
 	}
 	for _, i := range f.items {
 		if t.Whole || i.told > after {
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -259,3 +259,28 @@
 		assert.Empty(t, r.sink.get("b"))
 	})
 }
+
+// TestHostThatTheStoreTurnsAwayTellsNoTroubleOfOthers has a host that the store does not
+// serve follow one that it does, and a third one follow it: an item that vanishes is
+// gone for the third one at once, not kept as after trouble of the store.
+func TestHostThatTheStoreTurnsAwayTellsNoTroubleOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &store{items: map[string]feed.Item{}}
+		s.write("a", "1")
+		s.write("b", "1")
+		well := follow(ctx, s, &neighbour{})
+		time.Sleep(10 * time.Millisecond)
+		turned := follow(ctx, &store{items: map[string]feed.Item{}, down: true}, &neighbour{feed: &well.Feed})
+		time.Sleep(3 * time.Second)
+		r := follow(ctx, &store{items: map[string]feed.Item{}, down: true}, &neighbour{feed: &turned.Feed, guide: true})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, "1", r.sink.get("b"))
+
+		s.write("b", "")
+		time.Sleep(3 * time.Second)
+		assert.Empty(t, r.sink.get("b"))
+		assert.True(t, r.sink.trouble.IsZero(), "the store had no trouble for the host that read it")
+	})
+}
