--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -125,12 +126,24 @@
 	return told, nil
 }
 
+// successor is a guide that another host takes the place of.
+type successor struct {
+	atomic.Pointer[feed.Feed]
+}
+
+func (s *successor) Guide() bool { return true }
+func (s *successor) Any() bool   { return true }
+func (s *successor) Ask(ctx context.Context, after int64, whole bool) (feed.Told, error) {
+	n := neighbour{feed: s.Load()}
+	return n.Ask(ctx, after, whole)
+}
+
 type reader struct {
 	feed.Feed
 	sink sink
 }
 
-func follow(ctx context.Context, source feed.Source, n *neighbour) *reader {
+func follow(ctx context.Context, source feed.Source, n feed.Peers) *reader {
 	r := &reader{sink: sink{values: map[string]string{}}}
 	r.Reset(source, n, &r.sink, slog.New(slog.DiscardHandler), &tally.Tally{})
 	go r.Run(ctx)
@@ -244,7 +257,8 @@
 		s.write("b", "1")
 		before := follow(ctx, s, &neighbour{})
 		time.Sleep(10 * time.Millisecond)
-		guide := &neighbour{feed: &before.Feed, guide: true}
+		guide := &successor{}
+		guide.Store(&before.Feed)
 		r := follow(ctx, s, guide)
 		time.Sleep(600 * time.Millisecond)
 		assert.Equal(t, "1", r.sink.get("b"))
@@ -253,7 +267,7 @@
 		s.write("a", "2")
 		after := follow(ctx, s, &neighbour{})
 		time.Sleep(time.Millisecond)
-		guide.feed = &after.Feed
+		guide.Store(&after.Feed)
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, "2", r.sink.get("a"))
 		assert.Empty(t, r.sink.get("b"))
