Hedge again when a hedge could not be sent or was not answered

Cause: with one replica of each shard refusing 45 in 100 requests, a paused replica (120 ms each 3 s) held its part to the soft deadline: the one hedge was refused, found its replica ejected for 40 ms, or was spent before it was sent. Change: such a hedge is tried again after a quarter of the hedge delay, within five attempts a part and the retry budget; the first ejection after a refusal lasts 5 ms and doubles to 40 ms. The file of the search is split by concept.

--- a/internal/serving/replicas/replica.go
+++ b/internal/serving/replicas/replica.go
@@ -19,9 +19,12 @@
 	// reached; the time doubles each time.
 	minEjection = 200 * time.Millisecond
 	maxEjection = 2 * time.Second
-	// shedEjection is the ejection of a replica that refused a request because it
-	// was overloaded.
-	shedEjection = 40 * time.Millisecond
+	// minShedEjection and maxShedEjection bound the ejection of a replica that refused a
+	// request because it was overloaded; the time doubles with each refusal until the
+	// replica answers. A single refusal may be due to a fault or a burst that is over at
+	// once, so the first ejection leaves time to try again within a search.
+	minShedEjection = 5 * time.Millisecond
+	maxShedEjection = 40 * time.Millisecond
 	// slowThreshold is the slowdown above which an answer counts as slow.
 	slowThreshold = 3.0
 	// sameCauseWindow is the time within which slow answers are attributed to the
@@ -173,7 +176,7 @@
 	case Shed:
 		r.failureRate = r.FailureRate(now)*(1-failureWeight) + failureWeight
 		r.failureRateAt = now
-		r.eject(now, shedEjection, shedEjection)
+		r.eject(now, minShedEjection, maxShedEjection)
 	case Failed:
 		r.failureRate = r.FailureRate(now)*(1-failureWeight) + failureWeight
 		r.failureRateAt = now
--- a/internal/serving/search/decision.go
+++ b/internal/serving/search/decision.go
@@ -23,7 +23,7 @@
 func (s *Search) Decide(now time.Time) Decision {
 	pending, inFlight := s.countWaiting(), 0
 	for i := range s.parts {
-		inFlight += s.parts[i].inFlight
+		inFlight += s.parts[i].inFlight()
 	}
 	switch {
 	case s.answered == len(s.parts):
--- a/internal/serving/search/search.go
+++ b/internal/serving/search/search.go
@@ -1,13 +1,12 @@
 package search
 
 import (
-	"slices"
 	"time"
 
 	"fescuerill/internal/invariant"
 )
 
-// Parameters of retries and hedges.
+// Parameters of retries.
 const (
 	// minRetryDelay is the delay before a part is sent again after no replica was
 	// available or a retry failed.
@@ -15,140 +14,11 @@
 	// maxRetryDelay bounds that delay, which doubles with each failed retry. It is also the
 	// delay after a retry that the retry budget did not allow.
 	maxRetryDelay = 200 * time.Millisecond
-	// Parts are hedged only while at most hedgeMaxWaiting of them, or
-	// hedgeMaxWaitingShare of them if that is more, are unanswered.
-	hedgeMaxWaiting      = 4
-	hedgeMaxWaitingShare = 0.35
-	// hedgeRecheckDelay is the delay before that is checked again.
-	hedgeRecheckDelay = 5 * time.Millisecond
 	// maxNotRunAttempts is the number of attempts, beyond MaxTargets, after which a part
 	// is abandoned. It allows for attempts that fail without having run.
 	maxNotRunAttempts = 3
 )
 
-// Outcome is the outcome of an attempt.
-type Outcome int
-
-// Outcomes of attempts.
-const (
-	// Good means that the target answered successfully and completely.
-	Good Outcome = iota
-	// NotSent means that the request did not reach the target.
-	NotSent
-	// NotRun means that the target refused the request without running it.
-	NotRun
-	// Failed means that the request ran and the answer reports a failure.
-	Failed
-	// Unknown means that there is no answer; the request may have run.
-	Unknown
-)
-
-// MayHaveRun reports whether the request has run or may have run.
-func (o Outcome) MayHaveRun() bool { return o == Good || o == Failed || o == Unknown }
-
-// Plan holds the parameters of a search.
-type Plan struct {
-	// Parts is the number of parts: one per shard.
-	Parts int
-	// MinParts is the minimum number of answered parts for an answer.
-	MinParts int
-	// MaxTargets is the maximum number of targets on which a part can run.
-	MaxTargets int
-	// Idempotent reports that a part can safely run more than once.
-	Idempotent bool
-	// HedgeDelay is the time without an answer after which a part is also sent to
-	// another replica; 0 disables hedging.
-	HedgeDelay time.Duration
-	// SoftDeadline is the time from which MinParts answered parts suffice for a partial
-	// answer; zero stands for Deadline.
-	SoftDeadline time.Time
-	// Deadline is the time at which the search ends.
-	Deadline time.Time
-}
-
-// CandidateSet selects the replicas that can be chosen for a part.
-type CandidateSet int
-
-// Sets of candidates.
-const (
-	// AnyCandidate is all replicas; untried ones are preferred.
-	AnyCandidate CandidateSet = iota
-	// UntriedCandidates is the replicas that the part was not sent to.
-	UntriedCandidates
-	// TriedCandidates is the replicas that the part was sent to.
-	TriedCandidates
-)
-
-// Choice is the replica chosen for an attempt.
-type Choice struct {
-	Target string
-	// ExpectedLate reports that its answer is expected after the soft deadline.
-	ExpectedLate bool
-}
-
-// Chooser chooses replicas for parts.
-type Chooser interface {
-	// Choose chooses a replica from the set; tried are the targets that count as tried.
-	// It returns false if the part cannot be sent to any of them now.
-	Choose(part int, tried []string, from CandidateSet) (Choice, bool)
-	// SpendRetryBudget withdraws one additional attempt from the retry budget of the
-	// part and reports whether the budget allowed it.
-	SpendRetryBudget(part int) bool
-}
-
-// Attempt is one sending of a part to a target.
-type Attempt struct {
-	Part int
-	// Number counts the attempts of the part, from 1.
-	Number int
-	Target string
-	Reason Reason
-}
-
-// Reason is the reason for an attempt.
-type Reason int
-
-// Reasons for attempts.
-const (
-	First Reason = iota
-	Hedge
-	Retry
-)
-
-var reasonNames = [...]string{"first", "hedge", "retry"}
-
-// String returns the name of the reason.
-func (r Reason) String() string { return reasonNames[r] }
-
-// part is the state of one part.
-type part struct {
-	state state
-	tried []string
-	// ranOn holds the targets on which the part has run or may have run.
-	ranOn          []string
-	inFlight       int
-	failedAttempts int
-	attempts       int
-	hedgeAt        time.Time
-	retryAt        time.Time
-	retryDelay     time.Duration
-	hedged         bool
-	// reachedTarget reports that an attempt may have reached its target.
-	reachedTarget bool
-	// leftOut reports that the part was not sent because its answer was expected late.
-	leftOut     bool
-	lastOutcome Outcome
-}
-
-type state int
-
-const (
-	waiting state = iota // an attempt is in flight, or a retry is scheduled
-	answered
-	abandoned
-	noTarget // no replica could be chosen; tried again after minRetryDelay
-)
-
 // Search is the state of one request. Reset it before use.
 type Search struct {
 	plan       Plan
@@ -205,11 +75,8 @@
 // startAttempt records a new attempt of a part.
 func (s *Search) startAttempt(now time.Time, i int, target string, reason Reason) Attempt {
 	p := &s.parts[i]
-	invariant.Check(s.plan.Idempotent || p.inFlight == 0 && len(p.ranOn) == 0, "at-most-once", "part", i)
-	p.tried = append(p.tried, target)
-	p.inFlight++
-	p.attempts++
-	p.retryAt = time.Time{}
+	invariant.Check(s.plan.Idempotent || p.inFlight() == 0 && len(p.ranOn) == 0, "at-most-once", "part", i)
+	p.started(target)
 	if s.plan.HedgeDelay > 0 {
 		p.hedgeAt = now.Add(s.plan.HedgeDelay)
 	}
@@ -220,34 +87,34 @@
 // It reports whether the reply has to be kept for the answer.
 func (s *Search) HandleOutcome(now time.Time, c Chooser, attempt Attempt, o Outcome, dst []Attempt) ([]Attempt, bool) {
 	p := &s.parts[attempt.Part]
-	p.inFlight--
-	p.reachedTarget = p.reachedTarget || o != NotSent
+	p.ended(attempt.Target, o)
 	if p.state == answered {
 		return dst, false
 	}
 	p.lastOutcome = o
 	if o.MayHaveRun() {
 		s.mayHaveRun = true
-		if !slices.Contains(p.ranOn, attempt.Target) {
-			p.ranOn = append(p.ranOn, attempt.Target)
-		}
+		p.ran(attempt.Target)
 	}
 	if o == Good {
 		p.state = answered
 		s.answered++
 		return dst, true
 	}
-	return s.retry(now, c, attempt.Part, dst), o == Failed
+	return s.retry(now, c, attempt, dst), o == Failed
 }
 
 // retry retries a part after an attempt without a good answer: immediately the first
-// time, and then after an increasing delay.
-func (s *Search) retry(now time.Time, c Chooser, i int, dst []Attempt) []Attempt {
-	p := &s.parts[i]
+// time, and then after an increasing delay. While an older attempt is in flight, the part
+// is hedged again instead.
+func (s *Search) retry(now time.Time, c Chooser, attempt Attempt, dst []Attempt) []Attempt {
+	p := &s.parts[attempt.Part]
 	p.failedAttempts++
 	switch {
-	case p.inFlight > 0:
-		// Another attempt is in flight.
+	case p.inFlight() > 0:
+		if attempt.Number == p.attempts {
+			p.hedgeAt = now.Add(s.hedgeRecheckDelay())
+		}
 		return dst
 	case !s.retryAllowed(p):
 		p.state = abandoned
@@ -257,7 +124,7 @@
 		p.retryAt = now.Add(p.retryDelay)
 		return dst
 	}
-	return s.startAnotherAttempt(now, c, i, Retry, dst)
+	return s.startAnotherAttempt(now, c, attempt.Part, Retry, dst)
 }
 
 // retryAllowed reports whether another attempt of the part is allowed.
@@ -268,63 +135,53 @@
 	return p.attempts < s.plan.MaxTargets+maxNotRunAttempts
 }
 
-// choose chooses a replica for another attempt. Once the part has run on MaxTargets
-// targets, only those are candidates.
-func (s *Search) choose(c Chooser, i int, reason Reason) (Choice, bool) {
+// choose chooses a replica for a part that has no attempt in flight. Once the part has
+// run on MaxTargets targets, only those are candidates.
+func (s *Search) choose(c Chooser, i int) (Choice, bool) {
 	p := &s.parts[i]
-	switch {
-	case reason == Hedge:
-		return c.Choose(i, p.tried, UntriedCandidates)
-	case len(p.ranOn) >= s.plan.MaxTargets:
+	if len(p.ranOn) >= s.plan.MaxTargets {
 		return c.Choose(i, p.ranOn, TriedCandidates)
 	}
 	return c.Choose(i, p.tried, AnyCandidate)
 }
 
-// startAnotherAttempt appends a retry or a hedge of a part to dst if a replica and the
-// retry budget allow it. A retry of a part that has not reached a target needs no budget.
-// Before the soft deadline, a hedge is not sent if its answer is expected after it.
+// startAnotherAttempt appends an attempt of a part that has none in flight to dst if a
+// replica and the retry budget allow it. A retry of a part that has not reached a target
+// needs no budget.
 func (s *Search) startAnotherAttempt(now time.Time, c Chooser, i int, reason Reason, dst []Attempt) []Attempt {
 	p := &s.parts[i]
-	choice, ok := s.choose(c, i, reason)
-	if !ok || reason == Hedge && choice.ExpectedLate && now.Before(s.plan.SoftDeadline) {
-		if p.inFlight == 0 {
-			p.state = noTarget
-			p.retryAt = now.Add(minRetryDelay)
-		}
+	choice, ok := s.choose(c, i)
+	if !ok {
+		p.state = noTarget
+		p.retryAt = now.Add(minRetryDelay)
 		return dst
 	}
-	if (p.reachedTarget || p.inFlight > 0) && !c.SpendRetryBudget(i) {
-		if p.inFlight == 0 {
-			p.retryAt = now.Add(maxRetryDelay)
-		}
+	if p.reachedTarget && !c.SpendRetryBudget(i) {
+		p.retryAt = now.Add(maxRetryDelay)
 		return dst
 	}
 	p.state = waiting
 	return append(dst, s.startAttempt(now, i, choice.Target, reason))
 }
 
-// Tick appends the retries and hedges that are due to dst. While many parts are
-// unanswered, the targets are overloaded rather than a few of them slow, and hedges
-// would only add load.
+// Tick appends the retries and hedges that are due to dst.
 func (s *Search) Tick(now time.Time, c Chooser, dst []Attempt) []Attempt {
-	overloaded := s.countWaiting() > max(hedgeMaxWaiting, int(hedgeMaxWaitingShare*float64(len(s.parts))))
+	overloaded := s.overloaded()
 	for i := range s.parts {
 		p := &s.parts[i]
 		switch {
 		case p.state == answered || p.state == abandoned:
 		case !p.retryAt.IsZero() && !now.Before(p.retryAt):
 			p.retryAt = time.Time{}
-			if p.inFlight == 0 {
+			if p.inFlight() == 0 {
 				dst = s.startAnotherAttempt(now, c, i, s.attemptReason(p), dst)
 			}
 		case s.hedgeAllowed(p) && !now.Before(p.hedgeAt):
 			if overloaded {
-				p.hedgeAt = now.Add(hedgeRecheckDelay)
+				p.hedgeAt = now.Add(s.hedgeRecheckDelay())
 				continue
 			}
-			p.hedged = true
-			dst = s.startAnotherAttempt(now, c, i, Hedge, dst)
+			dst = s.startHedge(now, c, i, dst)
 		}
 	}
 	return dst
@@ -349,10 +206,6 @@
 	return Retry
 }
 
-func (s *Search) hedgeAllowed(p *part) bool {
-	return s.plan.HedgeDelay > 0 && s.plan.Idempotent && !p.hedged && p.inFlight == 1 && len(p.ranOn)+p.inFlight < s.plan.MaxTargets
-}
-
 // NextTick returns the time at which Tick has to be called again.
 func (s *Search) NextTick(now time.Time) time.Time {
 	next := s.plan.Deadline
