Let callers keep addresses for 3 s instead of 1 s

Cause: in a power cut, callers whose addresses expire ask up to three hosts in turn, a second each, before they send anything; with 1 s nearly all of them do. Change: addresses hold for 3 s, but at most for half of the grace period, so that callers have new ones long before a stopping host ends.

--- a/internal/serving/server/addresses.go
+++ b/internal/serving/server/addresses.go
@@ -12,8 +12,11 @@
 const (
 	// maxAddresses is the maximum number of addresses in an answer.
 	maxAddresses = 64
-	// addressTTL is how long callers may cache the addresses of hosts.
-	addressTTL = time.Second
+	// maxAddressTTL is the maximum time for which callers may cache the addresses of
+	// hosts. Callers whose addresses expire while no host can be reached wait in vain for
+	// several timeouts; but with a longer time, more callers use the address of a host that
+	// has failed.
+	maxAddressTTL = 3 * time.Second
 	// recordInterval is how often the host checks whether to renew its record in the
 	// store or to read the records of other hosts.
 	recordInterval = 500 * time.Millisecond
@@ -104,10 +107,7 @@
 // callers may cache them. If the data centre of this host is isolated, the addresses are
 // those of hosts in other data centres.
 func (s *Server) FrontAddresses(dataCentre string) ([]string, time.Duration) {
-	ttl := addressTTL
-	if s.settings.MaxAddressTTL > 0 {
-		ttl = min(ttl, s.settings.MaxAddressTTL)
-	}
+	ttl := s.addressTTL()
 	if s.updateIsolation() {
 		if remote := s.remoteFronts(); len(remote) > 0 {
 			return remote, ttl
@@ -130,6 +130,19 @@
 	return directory.AppendAddresses(nil, dataCentre, hosts, coverage, maxAddresses, s.random), ttl
 }
 
+// addressTTL returns how long callers may cache addresses: at most half of the grace
+// period, so that callers have new addresses long before a stopping host ends.
+func (s *Server) addressTTL() time.Duration {
+	ttl := maxAddressTTL
+	if s.settings.GracePeriod > 0 {
+		ttl = min(ttl, s.settings.GracePeriod/2)
+	}
+	if s.settings.MaxAddressTTL > 0 {
+		ttl = min(ttl, s.settings.MaxAddressTTL)
+	}
+	return ttl
+}
+
 // activeFronts returns the active ones among the hosts, with their front addresses.
 func (s *Server) activeFronts(hosts []directory.Host) []directory.Host {
 	chosen := directory.AppendActive(nil, hosts, s.activeShare(time.Now(), hosts))
