Encode relayed parts as MessagePack without field names

Change: relays use the framing of the link, moved to internal/network/frame, with messages generated from the same schema; records and bodies are raw bytes. A host of the previous build closes such a connection, so parts are then sent directly until both are of the new one.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -4,10 +4,11 @@
 	"context"
 	"encoding/json"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"fescuerill/internal/network/frame"
 )
 
 // writeTimeout limits each write to a connection.
@@ -23,17 +24,14 @@
 	MethodRelease       = "release"
 )
 
-// Traffic counts the bytes of messages sent and received. The zero value is
-// ready to use. Its methods are safe for concurrent use.
-type Traffic struct {
-	sent, received atomic.Int64
-}
-
-// Sent returns the number of bytes sent.
-func (t *Traffic) Sent() int64 { return t.sent.Load() }
+// Traffic counts the bytes of messages sent and received.
+type Traffic = frame.Traffic
 
-// Received returns the number of bytes received.
-func (t *Traffic) Received() int64 { return t.received.Load() }
+// Kinds of the messages that carry parts and their results.
+const (
+	kindRequests frame.Kind = 'a'
+	kindReplies  frame.Kind = 't'
+)
 
 // boundedConn sets a deadline on each write.
 type boundedConn struct {
@@ -78,11 +76,11 @@
 // parts.
 type conn struct {
 	*jsonrpc2.Conn
-	stream *stream
+	stream *frame.Stream
 }
 
-func newConn(ctx context.Context, raw net.Conn, t *Traffic, h handlerFunc, handleData func(kind, []byte) error) *conn {
-	s := newStream(boundedConn{raw}, t, handleData)
+func newConn(ctx context.Context, raw net.Conn, t *Traffic, h handlerFunc, handleData func(frame.Kind, []byte) error) *conn {
+	s := frame.NewStream(boundedConn{raw}, t, handleData)
 	return &conn{jsonrpc2.NewConn(ctx, s, h, jsonrpc2.SetLogger(discardLogger{})), s}
 }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"fescuerill/internal/network"
+	"fescuerill/internal/network/frame"
 	"fescuerill/internal/schema/peer"
 	"fescuerill/ring"
 )
@@ -267,9 +268,9 @@
 }
 
 // handleData handles a message with replies to parts.
-func (l *Link) handleData(k kind, body []byte) error {
+func (l *Link) handleData(k frame.Kind, body []byte) error {
 	if k != kindReplies {
-		return ErrUnexpectedKind
+		return frame.ErrUnexpectedKind
 	}
 	var r peer.PartReplies
 	if _, err := r.UnmarshalMsg(body); err != nil {
@@ -299,7 +300,7 @@
 			continue
 		}
 		m := l.newMessage(batch)
-		if err := c.stream.writeData(kindRequests, &m); err != nil {
+		if err := c.stream.WriteData(kindRequests, &m); err != nil {
 			_ = c.Close()
 			return
 		}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"fescuerill/internal/network/frame"
 	"fescuerill/internal/schema/peer"
 	"fescuerill/ring"
 )
@@ -99,7 +100,7 @@
 			s.handler.HandleProtocolError(err)
 		}
 		return result, err
-	}, func(k kind, body []byte) error {
+	}, func(k frame.Kind, body []byte) error {
 		err := s.handleData(r, k, body)
 		if err != nil {
 			s.handler.HandleProtocolError(err)
@@ -122,9 +123,9 @@
 }
 
 // handleData handles a message with requests for parts.
-func (s *Server) handleData(r *Responder, k kind, body []byte) error {
+func (s *Server) handleData(r *Responder, k frame.Kind, body []byte) error {
 	if k != kindRequests {
-		return ErrUnexpectedKind
+		return frame.ErrUnexpectedKind
 	}
 	var requests peer.PartRequests
 	if _, err := requests.UnmarshalMsg(body); err != nil {
@@ -155,7 +156,7 @@
 				m.Targets = append(m.Targets, *b.state)
 			}
 		}
-		if c.stream.writeData(kindReplies, &m) != nil {
+		if c.stream.WriteData(kindReplies, &m) != nil {
 			_ = c.Close()
 			return
 		}
--- a/internal/link/stream.go
+++ b/internal/network/frame/stream.go
@@ -1,4 +1,4 @@
-package link
+package frame
 
 import (
 	"bufio"
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"github.com/tinylib/msgp/msgp"
@@ -24,68 +25,76 @@
 	bufferBytes = 8 << 10
 )
 
-// kind identifies the encoding and type of a message. A message whose schema
+// Kind identifies the encoding and type of a message. A message whose schema
 // changes gets a new kind, so that daemons of two versions never misread each
 // other.
-type kind byte
+type Kind byte
 
-const (
-	// kindCall is a JSON-RPC 2.0 object.
-	kindCall kind = 'j'
-	// kindRequests and kindReplies are the MessagePack messages that carry
-	// parts and their results.
-	kindRequests kind = 'a'
-	kindReplies  kind = 't'
-)
+// KindCall is the kind of a JSON-RPC 2.0 object. All other kinds are of MessagePack
+// messages.
+const KindCall Kind = 'j'
 
 // Errors of a stream.
 var (
 	// ErrTooLarge is returned for a message that is larger than MaxMessageSize.
-	ErrTooLarge = errors.New("link: message is too large")
-	// ErrUnexpectedKind is returned for a message of a kind that this side does
-	// not accept.
-	ErrUnexpectedKind = errors.New("link: unexpected kind of message")
+	ErrTooLarge = errors.New("frame: message is too large")
+	// ErrUnexpectedKind is for a message of a kind that this side does not accept.
+	ErrUnexpectedKind = errors.New("frame: unexpected kind of message")
 )
 
-// stream reads and writes messages on a connection. Each message is preceded by
+// Traffic counts the bytes of messages sent and received. The zero value is
+// ready to use. Its methods are safe for concurrent use.
+type Traffic struct {
+	sent, received atomic.Int64
+}
+
+// Sent returns the number of bytes sent.
+func (t *Traffic) Sent() int64 { return t.sent.Load() }
+
+// Received returns the number of bytes received.
+func (t *Traffic) Received() int64 { return t.received.Load() }
+
+// Stream reads and writes messages on a connection. Each message is preceded by
 // its length and kind. It implements jsonrpc2.ObjectStream for calls. Messages
 // that carry parts are passed to the function handleData.
-type stream struct {
+type Stream struct {
 	conn       net.Conn
 	reader     *bufio.Reader
 	traffic    *Traffic
-	handleData func(k kind, body []byte) error
+	handleData func(k Kind, body []byte) error
 
 	mu     sync.Mutex
 	writer *bufio.Writer
 	buffer []byte
 }
 
-func newStream(c net.Conn, t *Traffic, handleData func(kind, []byte) error) *stream {
-	return &stream{
+// NewStream returns a stream on a connection. It counts the bytes in t. handleData is called
+// with each MessagePack message; its error ends the reading.
+func NewStream(c net.Conn, t *Traffic, handleData func(Kind, []byte) error) *Stream {
+	return &Stream{
 		conn: c, traffic: t, handleData: handleData,
 		reader: bufio.NewReaderSize(c, bufferBytes), writer: bufio.NewWriterSize(c, bufferBytes),
 	}
 }
 
 // WriteObject implements jsonrpc2.ObjectStream.
-func (s *stream) WriteObject(v any) error {
+func (s *Stream) WriteObject(v any) error {
 	body, err := json.Marshal(v)
 	if err != nil {
-		return errors.Wrap(err, "link: encode message")
+		return errors.Wrap(err, "frame: encode message")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.write(kindCall, body)
+	return s.write(KindCall, body)
 }
 
-// writeData writes a MessagePack message.
-func (s *stream) writeData(k kind, m msgp.Marshaler) error {
+// WriteData writes a MessagePack message.
+func (s *Stream) WriteData(k Kind, m msgp.Marshaler) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	body, err := m.MarshalMsg(s.buffer[:0])
 	if err != nil {
-		return errors.Wrap(err, "link: encode message")
+		return errors.Wrap(err, "frame: encode message")
 	}
 	if cap(body) <= maxPreallocBytes {
 		s.buffer = body
@@ -93,7 +102,7 @@
 	return s.write(k, body)
 }
 
-func (s *stream) write(k kind, body []byte) error {
+func (s *Stream) write(k Kind, body []byte) error {
 	var header [binary.MaxVarintLen64 + 1]byte
 	n := binary.PutUvarint(header[:], uint64(len(body)))
 	header[n] = byte(k)
@@ -108,14 +117,14 @@
 }
 
 // ReadObject implements jsonrpc2.ObjectStream.
-func (s *stream) ReadObject(v any) error {
+func (s *Stream) ReadObject(v any) error {
 	for {
 		k, body, err := s.read()
 		if err != nil {
 			return err
 		}
-		if k == kindCall {
-			return errors.Wrap(json.Unmarshal(body, v), "link: decode message")
+		if k == KindCall {
+			return errors.Wrap(json.Unmarshal(body, v), "frame: decode message")
 		}
 		if err := s.handleData(k, body); err != nil {
 			return err
@@ -123,7 +132,7 @@
 	}
 }
 
-func (s *stream) read() (kind, []byte, error) {
+func (s *Stream) read() (Kind, []byte, error) {
 	length, err := binary.ReadUvarint(s.reader)
 	if err != nil {
 		return 0, nil, err
@@ -137,7 +146,7 @@
 	}
 	body, err := readBody(s.reader, int(length))
 	s.traffic.received.Add(int64(len(body)))
-	return kind(k), body, err
+	return Kind(k), body, err
 }
 
 // readBody reads a message body of the given length. A buffer for a long body
@@ -156,4 +165,4 @@
 }
 
 // Close implements jsonrpc2.ObjectStream.
-func (s *stream) Close() error { return s.conn.Close() }
+func (s *Stream) Close() error { return s.conn.Close() }
--- a/internal/schema/relay/relay.gen.go
+++ b/internal/schema/relay/relay.gen.go
@@ -59,7 +59,7 @@
 // Forwards parts of a search to a host of another data centre, which sends them to
 // targets in its own.
 type Request struct {
-	// Body in base64.
+	// Body as raw bytes.
 	Body *string `json:"body,omitempty,omitzero"`
 
 	// Microseconds until the hard deadline of the request.
@@ -109,6 +109,6 @@
 	// Results of the completed parts.
 	Parts []PartResult `json:"parts"`
 
-	// Highest-ranked records of the successful parts in base64.
+	// Highest-ranked records of the successful parts as raw bytes.
 	Records *string `json:"records,omitempty,omitzero"`
 }
--- a/internal/serving/relay/connections.go
+++ b/internal/serving/relay/connections.go
@@ -2,17 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
-	"golang.org/x/sys/unix"
+	"github.com/tinylib/msgp/msgp"
 
+	"fescuerill/internal/network/frame"
 	wire "fescuerill/internal/schema/relay"
 	"fescuerill/ring"
 )
@@ -20,9 +19,6 @@
 const (
 	// dialTimeout bounds the time to open a connection to a host.
 	dialTimeout = 500 * time.Millisecond
-	// ackTimeout is how long sent data may stay unacknowledged before the kernel
-	// closes the connection.
-	ackTimeout = time.Second
 	// backOffTime is how long a host is not used after a failure.
 	backOffTime = time.Second
 	// maxQueuedMessages is the capacity of the write queue of a connection.
@@ -68,10 +64,10 @@
 	pending map[int]*pendingRequest
 }
 
-// message is a JSON-RPC notification in the write queue.
+// message is a message in the write queue.
 type message struct {
-	method string
-	body   any
+	kind frame.Kind
+	body msgp.Marshaler
 }
 
 // Ready reports whether requests can be sent to the host now. If there is no connection,
@@ -110,7 +106,8 @@
 	}
 	hc.lastNumber++
 	number := hc.lastNumber
-	if !hc.queue.Push(message{methodRequest, encodeRequest(time.Now(), number, req)}) {
+	m := encodeRequest(time.Now(), number, req)
+	if !hc.queue.Push(message{kindRequest, &m}) {
 		return nil, false
 	}
 	hc.pending[number] = &pendingRequest{ResultHandler: h, remainingParts: len(req.Targets)}
@@ -131,7 +128,7 @@
 		return false
 	}
 	delete(hc.pending, number)
-	hc.queue.Push(message{methodCancel, wire.Cancel{Number: number}})
+	hc.queue.Push(message{kindCancel, &wire.Cancel{Number: number}})
 	return true
 }
 
@@ -148,21 +145,6 @@
 	hc.backOffUntil = time.Now().Add(backOffTime)
 }
 
-// setAckTimeout sets ackTimeout on a TCP connection. A failure is ignored.
-func setAckTimeout(raw net.Conn) {
-	t, ok := raw.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	rc, err := t.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = rc.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
-	})
-}
-
 // connect opens the connection and starts its write loop.
 func (hc *hostConn) connect(ctx context.Context) {
 	d := net.Dialer{
@@ -180,13 +162,13 @@
 	}
 	setAckTimeout(raw)
 	hc.queue.Drain(nil)
-	c := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(raw), hc)
+	stream, c := newConn(ctx, raw, hc.handleData)
 	hc.conn = c
-	go hc.writeLoop(ctx, c)
+	go hc.writeLoop(ctx, stream, c)
 }
 
 // writeLoop sends queued messages until the connection is closed or ctx ends.
-func (hc *hostConn) writeLoop(ctx context.Context, c *jsonrpc2.Conn) {
+func (hc *hostConn) writeLoop(ctx context.Context, stream *frame.Stream, c *jsonrpc2.Conn) {
 	for {
 		select {
 		case <-hc.queue.Ready():
@@ -199,7 +181,7 @@
 			return
 		}
 		for _, m := range hc.queue.Drain(nil) {
-			if err := c.Notify(ctx, m.method, m.body); err != nil {
+			if err := stream.WriteData(m.kind, m.body); err != nil {
 				_ = c.Close()
 				hc.disconnected(c, err)
 				return
@@ -226,22 +208,17 @@
 	}
 }
 
-// Handle implements jsonrpc2.Handler.
-func (hc *hostConn) Handle(_ context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
-	if r.Method != methodResults || r.Params == nil {
-		return
+// handleData handles a message with results. An error closes the connection.
+func (hc *hostConn) handleData(k frame.Kind, body []byte) error {
+	if k != kindResults {
+		return frame.ErrUnexpectedKind
 	}
 	var m wire.Results
-	err := json.Unmarshal(*r.Params, &m)
-	var results Results
-	if err == nil {
-		results, err = decodeResults(m)
-	}
-	if err != nil {
+	if _, err := m.UnmarshalMsg(body); err != nil {
 		hc.log.Warn("invalid results message from relay host", "host", hc.address, "error", err)
-		_ = c.Close()
-		return
+		return errors.Wrap(err, "decode relay results")
 	}
+	results := decodeResults(m)
 	hc.mu.Lock()
 	p, ok := hc.pending[m.Number]
 	if ok {
@@ -254,4 +231,5 @@
 	if ok {
 		p.HandleResults(results)
 	}
+	return nil
 }
--- a/internal/serving/relay/message.go
+++ b/internal/serving/relay/message.go
@@ -1,21 +1,19 @@
 package relay
 
 import (
-	"encoding/base64"
 	"time"
 
-	"github.com/pkg/errors"
-
+	"fescuerill/internal/network/frame"
 	wire "fescuerill/internal/schema/relay"
 	"fescuerill/internal/serving/exchange"
 	"fescuerill/internal/serving/search"
 )
 
-// JSON-RPC methods between hosts.
+// Kinds of messages between hosts.
 const (
-	methodRequest = "parts/ask"
-	methodResults = "parts/told"
-	methodCancel  = "parts/cancel"
+	kindRequest frame.Kind = 'q'
+	kindResults frame.Kind = 'r'
+	kindCancel  frame.Kind = 'c'
 )
 
 // Request is a request to a relay host to send the parts of a search to targets.
@@ -77,14 +75,14 @@
 		m.SettleUs = int(req.SoftDeadline.Sub(now).Microseconds())
 	}
 	if len(req.CallerRequest.Body) > 0 {
-		text := base64.StdEncoding.EncodeToString(req.CallerRequest.Body)
-		m.Body = &text
+		body := string(req.CallerRequest.Body)
+		m.Body = &body
 	}
 	return m
 }
 
 // decodeRequest converts a message to a request; now is when the message was received.
-func decodeRequest(now time.Time, m wire.Request) (Request, error) {
+func decodeRequest(now time.Time, m wire.Request) Request {
 	at := func(us int) time.Time { return now.Add(time.Duration(us) * time.Microsecond) }
 	req := Request{
 		CallerRequest: &exchange.Request{ID: m.ID, Method: m.Method, URI: m.Uri, Host: m.Host, Header: map[string][]string(m.Header)},
@@ -94,13 +92,9 @@
 		req.SoftDeadline = at(m.SettleUs)
 	}
 	if m.Body != nil {
-		body, err := base64.StdEncoding.DecodeString(*m.Body)
-		if err != nil {
-			return req, errors.Wrap(err, "decode request body")
-		}
-		req.CallerRequest.Body = body
+		req.CallerRequest.Body = []byte(*m.Body)
 	}
-	return req, nil
+	return req
 }
 
 // encodeResults converts results to a message. It leaves out the bodies of the parts.
@@ -118,9 +112,7 @@
 		}
 		m.Parts = append(m.Parts, part)
 	}
-	if len(results.TopRecords) > 0 {
-		setIfNotEmpty(&m.Records, base64.StdEncoding.EncodeToString(results.TopRecords))
-	}
+	setIfNotEmpty(&m.Records, string(results.TopRecords))
 	return m
 }
 
@@ -148,7 +140,7 @@
 }
 
 // decodeResults converts a message to results.
-func decodeResults(m wire.Results) (Results, error) {
+func decodeResults(m wire.Results) Results {
 	var results Results
 	for _, p := range m.Parts {
 		r := exchange.Reply{
@@ -158,10 +150,6 @@
 		r.Shed = r.Outcome == search.NotRun && !r.TargetMoved
 		results.Parts = append(results.Parts, PartResult{Index: p.At, Reply: r, Elapsed: time.Duration(p.TookUs) * time.Microsecond})
 	}
-	records, err := base64.StdEncoding.DecodeString(valueOrZero(m.Records))
-	if err != nil {
-		return results, errors.Wrap(err, "decode merged records")
-	}
-	results.TopRecords = records
-	return results, nil
+	results.TopRecords = []byte(valueOrZero(m.Records))
+	return results
 }
--- a/internal/serving/relay/serve.go
+++ b/internal/serving/relay/serve.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"fescuerill/internal/network/frame"
 	wire "fescuerill/internal/schema/relay"
 	"fescuerill/internal/serving/exchange"
 )
@@ -32,7 +33,8 @@
 		s := &session{send: send, log: log, cancels: map[int]context.CancelFunc{}}
 		s.ctx, s.cancel = context.WithCancel(ctx)
 		setAckTimeout(raw)
-		c := jsonrpc2.NewConn(s.ctx, jsonrpc2.NewPlainObjectStream(raw), s)
+		var c *jsonrpc2.Conn
+		s.stream, c = newConn(s.ctx, raw, s.handleData)
 		go func() {
 			select {
 			case <-c.DisconnectNotify():
@@ -48,6 +50,7 @@
 type session struct {
 	send   SendFunc
 	log    *slog.Logger
+	stream *frame.Stream
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -56,25 +59,21 @@
 	cancels map[int]context.CancelFunc
 }
 
-// Handle implements jsonrpc2.Handler.
-func (s *session) Handle(_ context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
-	if r.Params == nil {
-		return
-	}
-	switch r.Method {
-	case methodRequest:
+// handleData handles a message. An error closes the connection.
+func (s *session) handleData(k frame.Kind, body []byte) error {
+	switch k {
+	case kindRequest:
 		var m wire.Request
-		if err := json.Unmarshal(*r.Params, &m); err != nil {
-			s.log.Warn("invalid relay message", "method", r.Method, "error", err)
-			_ = c.Close()
-			return
+		if _, err := m.UnmarshalMsg(body); err != nil {
+			s.log.Warn("invalid relay request", "error", err)
+			return errors.Wrap(err, "decode relay request")
 		}
-		s.handleRequest(c, m)
-	case methodCancel:
+		s.handleRequest(m)
+	case kindCancel:
 		var m wire.Cancel
-		if err := json.Unmarshal(*r.Params, &m); err != nil {
-			s.log.Warn("invalid relay message", "method", r.Method, "error", err)
-			return
+		if _, err := m.UnmarshalMsg(body); err != nil {
+			s.log.Warn("invalid relay cancellation", "error", err)
+			return errors.Wrap(err, "decode relay cancellation")
 		}
 		s.mu.Lock()
 		cancel := s.cancels[m.Number]
@@ -82,14 +81,17 @@
 		if cancel != nil {
 			cancel()
 		}
+	default:
+		return frame.ErrUnexpectedKind
 	}
+	return nil
 }
 
 // handleRequest sends the parts of a request to their targets.
-func (s *session) handleRequest(c *jsonrpc2.Conn, m wire.Request) {
-	req, err := decodeRequest(time.Now(), m)
-	if err != nil || len(req.Targets) == 0 {
-		s.log.Warn("invalid relay request", "id", m.ID, "error", err)
+func (s *session) handleRequest(m wire.Request) {
+	req := decodeRequest(time.Now(), m)
+	if len(req.Targets) == 0 {
+		s.log.Warn("relay request without parts", "id", m.ID)
 		return
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
@@ -105,7 +107,7 @@
 		}()
 	}
 	go func() {
-		s.collect(c, m.Number, req, results)
+		s.collect(m.Number, req, results)
 		s.mu.Lock()
 		delete(s.cancels, m.Number)
 		s.mu.Unlock()
@@ -123,7 +125,7 @@
 }
 
 // collect sends the results of a request back in the batches of a Collector.
-func (s *session) collect(c *jsonrpc2.Conn, number int, req Request, results <-chan PartResult) {
+func (s *session) collect(number int, req Request, results <-chan PartResult) {
 	var collector Collector
 	collector.Reset(len(req.Targets), req.FlushTime, req.MaxRecords)
 	timer := time.NewTimer(time.Until(req.FlushTime))
@@ -139,7 +141,8 @@
 		if !ready {
 			continue
 		}
-		if err := c.Notify(s.ctx, methodResults, encodeResults(number, collector.Take())); err != nil {
+		message := encodeResults(number, collector.Take())
+		if err := s.stream.WriteData(kindResults, &message); err != nil {
 			s.log.Debug("send relay results failed", "error", err)
 			return
 		}
