Answer requests that arrive while a host closes its connections

Cause: http.Server.Shutdown counts a connection as idle until it has read a whole header, and closes it; the limit on idle connections did the same. Change: the host stops accepting once the opened connections are accepted, ends the reads of connections on which no byte of a request has arrived, and waits for the others. The test of a silent link keeps the connection that it accepts, which the garbage collector closed.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -95,17 +95,19 @@
 func TestClosesSilentConnection(t *testing.T) {
 	silent := listen(t)
 	defer silent.Close()
+	accepted := make(chan net.Conn, 1)
 	go func() {
-		for {
-			if _, err := silent.Accept(); err != nil {
-				return
-			}
+		if c, err := silent.Accept(); err == nil {
+			accepted <- c
 		}
 	}()
 	r := newRecordingHandler()
 	l := link.New(network.TCP{}, silent.Addr().String(), r, &link.Traffic{})
 	defer l.Close()
 	l.SendParts(queryParts(1))
+	// A connection that nothing refers to would be closed by the garbage collector.
+	peer := <-accepted
+	defer peer.Close()
 	<-r.timeouts
 	assert.True(t, <-r.lost, "the part may have been received")
 }
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -33,7 +33,7 @@
 	// gcPercent is the garbage collection target: the growth of the heap, in per cent,
 	// that starts a collection.
 	gcPercent = 100
-	// addressTTLFactor is the multiple of addressTTL for which some callers cache
+	// addressTTLFactor is the multiple of the TTL for which some callers cache
 	// addresses.
 	addressTTLFactor = 3
 	// stopMargin is the time before the end of the grace period by which the shutdown is
@@ -70,18 +70,19 @@
 // Server is a running host. Use Start to create one. Its methods are safe for concurrent
 // use.
 type Server struct {
-	settings    Settings
-	platform    Platform
-	log         *slog.Logger
-	stats       *stats.Registry
-	gateway     *gateway.Gateway
-	peers       *peers.Peers
-	feed        feed.Feed
-	frontServer *http.Server
-	idleConns   idleConns
-	cancel      context.CancelFunc
-	stopping    atomic.Bool
-	active      atomic.Pointer[activeHosts]
+	settings      Settings
+	platform      Platform
+	log           *slog.Logger
+	stats         *stats.Registry
+	gateway       *gateway.Gateway
+	peers         *peers.Peers
+	feed          feed.Feed
+	frontServer   *http.Server
+	frontListener *callerListener
+	callerConns   callerConns
+	cancel        context.CancelFunc
+	stopping      atomic.Bool
+	active        atomic.Pointer[activeHosts]
 	// lastRequest is when the last request arrived, in nanoseconds since startedAt.
 	lastRequest atomic.Int64
 	startedAt   time.Time
@@ -164,11 +165,14 @@
 		Handler:           s.platform.FrontHandler(s),
 		ReadHeaderTimeout: maxHeaderTime,
 		MaxHeaderBytes:    64 << 10,
-		ConnState:         s.idleConns.setState,
+		ConnState:         s.callerConns.setState,
 		ConnContext:       withConn,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 	}
-	limited := func(l net.Listener) net.Listener { return callerListener{Listener: l, limit: s.headerLimit} }
+	limited := func(l net.Listener) net.Listener {
+		s.frontListener = newCallerListener(l, s.headerLimit)
+		return s.frontListener
+	}
 	if err := s.listenAndServe(ctx, s.frontServer, s.settings.FrontAddress, limited); err != nil {
 		return errors.Wrap(err, "listen on front address")
 	}
@@ -234,7 +238,7 @@
 	s.stopping.Store(true)
 	s.log.Info("stopping", "grace-ms", s.settings.GracePeriod.Milliseconds(), "running", s.gateway.InFlight())
 	s.peers.Leave()
-	addressesExpired := start.Add(addressTTLFactor*addressTTL + drainQuietTime/2)
+	addressesExpired := start.Add(addressTTLFactor*s.addressTTL() + drainQuietTime/2)
 	deadline := start.Add(max(stopMargin, s.settings.GracePeriod-stopMargin))
 	s.gateway.SetShutdownDeadline(deadline)
 	for now := time.Now(); now.Before(deadline) && ctx.Err() == nil; now = time.Now() {
@@ -246,7 +250,9 @@
 	}
 	shutdownCtx, cancel := context.WithDeadline(ctx, deadline.Add(stopMargin/2))
 	defer cancel()
-	err := s.frontServer.Shutdown(shutdownCtx)
+	s.frontListener.stop()
+	err := s.callerConns.drain(shutdownCtx)
+	_ = s.frontServer.Close()
 	s.log.Info("stopped", "took-ms", time.Since(start).Milliseconds(), "unfinished", s.gateway.InFlight(), "error", err)
 	s.cancel()
 	s.workers.Wait()
