Bound the head of a target's answer, and what a stated length reserves

Cause: a target in trouble may send bytes without end. A head was read to its end or the deadline, so one target filled the memory of a host; closing a chunked body that was too long read on until the deadline; a stated length was allocated before the bytes came. An answer without a request ID was taken as the answer even where the target had sent IDs before on the connection, so a late second copy without one reached the next caller. Change: a head is limited to 64 KiB with its interim answers, buffers above 64 KiB grow as data arrives, a body is not drained, and answers without an ID are refused once the connection has had one.

--- /dev/null
+++ b/internal/serving/exchange/answer_test.go
@@ -0,0 +1,119 @@
+package exchange_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"fescuerill/internal/serving/exchange"
+	"fescuerill/internal/serving/search"
+)
+
+// startEndlessTarget starts a target that answers each request with a beginning and then
+// repeats a text until the connection is closed. It returns the number of bytes sent.
+func startEndlessTarget(t *testing.T, beginning, repeated string) (exchange.Target, *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	var sent atomic.Int64
+	block := strings.Repeat(repeated, 1+16<<10/len(repeated))
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, err := io.WriteString(c, beginning)
+				for err == nil {
+					var n int
+					n, err = io.WriteString(c, block)
+					sent.Add(int64(n))
+				}
+			}()
+		}
+	}()
+	return exchange.Target{ID: "t", Address: l.Addr().String()}, &sent
+}
+
+// TestEndlessBytesEndTheRequest checks that a target that sends bytes without end costs
+// neither memory nor the time of the request. Up to the socket buffers and the limit on a
+// body may be received.
+func TestEndlessBytesEndTheRequest(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: s\r\n"
+	const buffers = 12 << 20
+	tests := map[string]struct {
+		beginning, repeated, reason string
+		maxBytes                    int64
+	}{
+		"status line":     {"HTTP/1.1 200 ", "x", "answer-too-long", buffers},
+		"header field":    {ok + "Long: ", "x", "answer-too-long", buffers},
+		"header fields":   {ok, "Name: value\r\n", "answer-too-long", buffers},
+		"interim answers": {"", "HTTP/1.1 103 Early Hints\r\n\r\n", "answer-too-long", buffers},
+		"body":            {ok + "\r\n", "x", "answer-too-long", buffers + 8<<20},
+		"chunked body":    {ok + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n", "answer-too-long", buffers + 16<<20},
+		"chunk header":    {ok + "Transfer-Encoding: chunked\r\n\r\n", "1", "bad-format", buffers},
+		"trailer":         {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n", "bad-format", buffers},
+		"no answer":       {"", "\x00", "answer-too-long", buffers},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			target, sent := startEndlessTarget(t, test.beginning, test.repeated)
+			start := time.Now()
+			got := newPool().Do(t.Context(), target, newRequest("1"), func() time.Duration { return 20 * time.Second })
+			assert.Equal(t, search.Unknown, got.Outcome)
+			assert.Equal(t, test.reason, got.Reason, got.Err)
+			assert.Less(t, time.Since(start), 10*time.Second)
+			assert.Less(t, sent.Load(), test.maxBytes)
+		})
+	}
+}
+
+// TestStatedLengthReservesNoMemory checks that a target that states a long body and sends
+// none does not make the host allocate it.
+func TestStatedLengthReservesNoMemory(t *testing.T) {
+	s := startTarget(t, "HTTP/1.1 200 OK\r\nId: ID\r\nStamp: s\r\nContent-Length: 8000000\r\n\r\n")
+	p := newPool()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	got := p.Do(t.Context(), s.target(), newRequest("1"), func() time.Duration { return 20 * time.Millisecond })
+	runtime.ReadMemStats(&after)
+	assert.Equal(t, "silent", got.Reason)
+	assert.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(1<<20))
+}
+
+// TestLateSecondCopyIsNotTheNextAnswer sends a second copy of an answer when the
+// connection is in use again, with the ID of the earlier request or with none. The next
+// caller must get the answer to its own request.
+func TestLateSecondCopyIsNotTheNextAnswer(t *testing.T) {
+	for name, copied := range map[string]string{
+		"with its ID": "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: s\r\nContent-Length: 5\r\n\r\nfirst",
+		"without ID":  "HTTP/1.1 200 OK\r\nStamp: s\r\nContent-Length: 5\r\n\r\nfirst",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startTarget(t, "HTTP/1.1 200 OK\r\nId: ID\r\nStamp: s\r\nContent-Length: 5\r\n\r\nfirst", copied+goodAnswer, goodAnswer)
+			p := newPool()
+			first := p.Do(t.Context(), s.target(), newRequest("1"), oneSecond)
+			assert.Equal(t, "first", string(first.Body))
+			second := p.Do(t.Context(), s.target(), newRequest("2"), oneSecond)
+			assert.Equal(t, search.Good, second.Outcome, second.Err)
+			assert.Equal(t, "body", string(second.Body))
+			third := p.Do(t.Context(), s.target(), newRequest("3"), oneSecond)
+			assert.Equal(t, "body", string(third.Body))
+			assert.Equal(t, int64(2), s.accepted.Load(), "the connection with the copy is not used again")
+		})
+	}
+}
--- a/internal/serving/exchange/conn.go
+++ b/internal/serving/exchange/conn.go
@@ -28,18 +28,22 @@
 // conn is a persistent connection to a target.
 type conn struct {
 	raw         net.Conn
+	head        *headLimiter
 	reader      *bufio.Reader
 	writeBuffer bytes.Buffer
 	lastUsed    time.Time
 	idleTimeout time.Duration
 	// writeDone delivers the result of a background write; nil if none is pending.
 	writeDone chan error
+	// sendsIDs is set if an answer on the connection had a request ID.
+	sendsIDs bool
 	// noReuse is set if no further request may be sent on the connection.
 	noReuse bool
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{raw: raw, reader: bufio.NewReaderSize(raw, 2048), idleTimeout: maxIdleTime}
+	head := &headLimiter{source: raw}
+	return &conn{raw: raw, head: head, reader: bufio.NewReaderSize(head, 2048), idleTimeout: maxIdleTime}
 }
 
 // updateReuse sets the idle timeout from the Keep-Alive field of an answer, and noReuse
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -2,13 +2,10 @@
 
 import (
 	"bytes"
-	"io"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"fescuerill/internal/serving/search"
 )
 
@@ -109,19 +106,11 @@
 )
 
 const (
-	// maxAnswerBytes is the length of the longest body that is accepted in an answer.
-	maxAnswerBytes = 8 << 20
 	// maxSyncBodyBytes is the length of the longest body that is written before the
 	// answer is read. Longer bodies are written while the answer is awaited.
 	maxSyncBodyBytes = 8 << 10
-	// maxMismatchedAnswers is the number of answers to other requests that are skipped
-	// before the read fails.
-	maxMismatchedAnswers = 2
 )
 
-// errAnswerTooLong is returned for a body longer than maxAnswerBytes.
-var errAnswerTooLong = errors.New("answer body exceeds the size limit")
-
 // write sends the request over the connection. A body longer than maxSyncBodyBytes is
 // written in the background.
 func (c *conn) write(req *Request, t Target, p Protocol, left time.Duration) error {
@@ -164,55 +153,3 @@
 		return false
 	}
 }
-
-// read reads the answer to the request: its status, header and body. It skips answers
-// to other requests; the connection is not reused after one.
-func (c *conn) read(req *Request, p Protocol) (Reply, error) {
-	request := &http.Request{Method: req.Method}
-	for mismatched := 0; ; {
-		r, err := http.ReadResponse(c.reader, request)
-		if errors.Is(err, io.ErrUnexpectedEOF) {
-			// The header is incomplete; a truncated body fails in readBody.
-			return Reply{}, io.EOF
-		}
-		if err != nil {
-			return Reply{}, err
-		}
-		if r.StatusCode < http.StatusOK {
-			continue
-		}
-		body, err := readBody(r)
-		if err != nil {
-			return Reply{}, err
-		}
-		if r.Close {
-			c.noReuse = true
-		}
-		if id := p.ReplyRequestID(r.Header); id == "" || id == req.ID {
-			return Reply{Status: r.StatusCode, Header: r.Header, Body: body}, nil
-		}
-		c.noReuse = true
-		if mismatched++; mismatched > maxMismatchedAnswers || r.Close {
-			return Reply{}, errMismatchedAnswers
-		}
-	}
-}
-
-// readBody returns the body of an answer, or errAnswerTooLong.
-func readBody(r *http.Response) ([]byte, error) {
-	defer r.Body.Close()
-	if r.ContentLength > maxAnswerBytes {
-		return nil, errAnswerTooLong
-	}
-	if r.ContentLength >= 0 {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
-	}
-	var b bytes.Buffer
-	n, err := io.Copy(&b, io.LimitReader(r.Body, maxAnswerBytes+1))
-	if err == nil && n > maxAnswerBytes {
-		err = errAnswerTooLong
-	}
-	return b.Bytes(), err
-}
