Drop what expected late answers decided, and read the store once at a start

Change: both rules go, with their tests; a host lists the store once, with the records of all hosts, instead of three lists. The count of reads in the test of the record schedule is one less, as the schedule now counts the first read from its success.

--- a/internal/fleet/peers/records.go
+++ b/internal/fleet/peers/records.go
@@ -88,5 +88,6 @@
 	return true
 }
 
-// ReadSucceeded records that the records have been read.
-func (r *RecordSchedule) ReadSucceeded() { r.everRead = true }
+// ReadSucceeded records that the records have been read, alone or in a full list of the
+// store.
+func (r *RecordSchedule) ReadSucceeded(now time.Time) { r.everRead, r.lastRead = true, now }
--- a/internal/serving/exchange/answer.go
+++ b/internal/serving/exchange/answer.go
@@ -100,9 +100,18 @@
 	return id == req.ID
 }
 
-// readBody returns the body of an answer, or errAnswerTooLong. It does not close the body:
-// that would read the rest of a body that is too long, which may never end.
+// readBody returns the body of an answer, or errAnswerTooLong. It closes only a body that
+// was read to its end: closing reads the rest of a body that is too long, which may never
+// end.
 func readBody(r *http.Response) ([]byte, error) {
+	body, err := readToEnd(r)
+	if err != nil {
+		return nil, err
+	}
+	return body, r.Body.Close()
+}
+
+func readToEnd(r *http.Response) ([]byte, error) {
 	if r.ContentLength > maxAnswerBytes {
 		return nil, errAnswerTooLong
 	}
--- a/internal/serving/gateway/answer.go
+++ b/internal/serving/gateway/answer.go
@@ -113,8 +113,8 @@
 		fmt.Fprintf(&loggedAttempts, "%d/%d:%s:%s:%s:%dms ", l.part, l.number, l.target, l.cause, l.outcome, l.latency.Milliseconds())
 	}
 	if a.Kind != Served {
-		r.search.EachMissing(func(part int, leftOut bool, tried []string) {
-			fmt.Fprintf(&missing, "%d:%s:%s ", part, r.chooser.services[part], r.missingReason(part, leftOut, tried))
+		r.search.EachMissing(func(part int, tried []string) {
+			fmt.Fprintf(&missing, "%d:%s:%s ", part, r.chooser.services[part], r.missingReason(part, tried))
 		})
 	}
 	r.g.log.Info("request", "id", r.request.ID, "route", r.route.Name, "version", r.manifestVersion, "outcome", a.Kind.String(),
@@ -126,10 +126,7 @@
 
 // missingReason returns the reason why a part is unanswered: the targets that it was sent
 // to, or the state of each target of the service.
-func (r *activeRequest) missingReason(part int, leftOut bool, tried []string) string {
-	if leftOut {
-		return "left-out-as-late"
-	}
+func (r *activeRequest) missingReason(part int, tried []string) string {
 	if len(tried) > 0 {
 		return "unanswered-by=" + strings.Join(tried, ",")
 	}
--- a/internal/serving/gateway/chooser.go
+++ b/internal/serving/gateway/chooser.go
@@ -14,10 +14,6 @@
 	g        *Gateway
 	now      time.Time
 	services []string
-	// typical is the typical latency of a part.
-	typical time.Duration
-	// softDeadline is the time from which answers to parts are late; zero for none.
-	softDeadline time.Time
 	// budgetRefusals counts the retries and hedges that the retry budget did not allow.
 	budgetRefusals int
 }
@@ -71,8 +67,7 @@
 	if candidate.RateLimited {
 		c.g.coldStarts.Record(c.now, candidate.ID)
 	}
-	late := !c.softDeadline.IsZero() && c.now.Add(c.g.tracker.ExpectedLatency(c.now, candidate, c.typical)).After(c.softDeadline)
-	return search.Choice{Target: candidate.ID, ExpectedLate: late}, true
+	return search.Choice{Target: candidate.ID}, true
 }
 
 // withoutCold removes rate-limited cold targets if there is a warm one, and otherwise
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -55,6 +55,8 @@
 	ConnectingHosts() int
 	// AddHost adds a host that has a record in the store.
 	AddHost(peers.Host)
+	// SetSizeKnown records that all hosts with a record in the store have been added.
+	SetSizeKnown()
 	// RendezvousRank returns the number of live hosts that rank before this one for the
 	// key by rendezvous hashing.
 	RendezvousRank(key string) int
@@ -147,6 +149,14 @@
 	return g.listed && g.manifest.Load() != nil
 }
 
+// Listed reports whether a full list of the store, with the records of all hosts, has been
+// applied.
+func (g *Gateway) Listed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.listed
+}
+
 // Healthy reports whether most of the recent searches were answered, or there were none.
 func (g *Gateway) Healthy() bool {
 	g.mu.Lock()
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -25,6 +25,9 @@
 		}
 		changes = append(changes, c)
 	}
+	if full {
+		g.fleet.SetSizeKnown()
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for i, c := range changes {
--- a/internal/serving/replicas/tracker.go
+++ b/internal/serving/replicas/tracker.go
@@ -67,13 +67,6 @@
 // Forget drops the state of a replica.
 func (t *Tracker) Forget(id string) { delete(t.replicas, id) }
 
-// ExpectedLatency returns the latency to expect from a candidate, given the typical
-// latency of such requests.
-func (t *Tracker) ExpectedLatency(now time.Time, c Candidate, typical time.Duration) time.Duration {
-	r := t.Replica(c.ID)
-	return time.Duration(float64(typical) * r.Slowdown(now) * (1 + float64(len(r.inFlight))/float64(max(1, c.Slots))))
-}
-
 // Choose returns the index of the candidate with the lowest cost, or -1 if all
 // candidates are ejected. Candidates of nearly the same cost are chosen at random.
 func (t *Tracker) Choose(now time.Time, candidates []Candidate, random *rand.Rand) int {
--- a/internal/serving/search/hedge.go
+++ b/internal/serving/search/hedge.go
@@ -31,15 +31,13 @@
 		(p.mayRunOn() < s.plan.MaxTargets || len(p.idleRanOn()) > 0)
 }
 
-// startHedge appends a hedge of a part to dst. If no other replica is available now, its
-// answer is expected after the soft deadline or the retry budget is empty, the hedge is
-// tried again later: an ejection may end soon, and so may the pause of
-// a replica.
+// startHedge appends a hedge of a part to dst. If no other replica is available now or the
+// retry budget is empty, the hedge is tried again later: an ejection may end soon.
 func (s *Search) startHedge(now time.Time, c Chooser, i int, dst []Attempt) []Attempt {
 	p := &s.parts[i]
 	p.hedgeAt = now.Add(s.hedgeRecheckDelay())
 	choice, ok := s.chooseHedge(c, i)
-	if !ok || choice.ExpectedLate && now.Before(s.plan.SoftDeadline) || !c.SpendRetryBudget(i) {
+	if !ok || !c.SpendRetryBudget(i) {
 		return dst
 	}
 	return append(dst, s.startAttempt(now, i, choice.Target, Hedge))
--- a/internal/serving/search/part.go
+++ b/internal/serving/search/part.go
@@ -22,9 +22,7 @@
 	retryDelay time.Duration
 	// reachedTarget reports that an attempt may have reached its target.
 	reachedTarget bool
-	// leftOut reports that the part was not sent because its answer was expected late.
-	leftOut     bool
-	lastOutcome Outcome
+	lastOutcome   Outcome
 }
 
 type state int
--- a/internal/serving/search/plan.go
+++ b/internal/serving/search/plan.go
@@ -58,8 +58,6 @@
 // Choice is the replica chosen for an attempt.
 type Choice struct {
 	Target string
-	// ExpectedLate reports that its answer is expected after the soft deadline.
-	ExpectedLate bool
 }
 
 // Chooser chooses replicas for parts.
--- a/internal/serving/search/search.go
+++ b/internal/serving/search/search.go
@@ -33,10 +33,7 @@
 }
 
 // Begin appends the first attempt of each part to dst. It appends none if fewer than
-// MinParts parts have a replica. Parts of idempotent requests whose answers are expected
-// late are left out, so that busy replicas can answer other requests: at most half of
-// the number of parts beyond MinParts, rounded up. The other half is a margin for parts
-// that fail.
+// MinParts parts have a replica.
 func (s *Search) Begin(now time.Time, c Chooser, dst []Attempt) []Attempt {
 	choices := make([]Choice, len(s.parts))
 	sendable := 0
@@ -56,16 +53,8 @@
 		}
 		return dst
 	}
-	spare := (len(s.parts) - s.plan.MinParts + 1) / 2
 	for i, choice := range choices {
-		p := &s.parts[i]
-		switch {
-		case p.state == noTarget:
-		case choice.ExpectedLate && spare > 0 && s.plan.Idempotent:
-			spare--
-			p.state = abandoned
-			p.leftOut = true
-		default:
+		if s.parts[i].state != noTarget {
 			dst = append(dst, s.startAttempt(now, i, choice.Target, First))
 		}
 	}
@@ -237,12 +226,11 @@
 // Covered returns the number of answered parts.
 func (s *Search) Covered() int { return s.answered }
 
-// EachMissing calls f for each unanswered part: whether it was left out because its
-// answer was expected late, and the targets that it was sent to.
-func (s *Search) EachMissing(f func(part int, leftOut bool, tried []string)) {
+// EachMissing calls f for each unanswered part, with the targets that it was sent to.
+func (s *Search) EachMissing(f func(part int, tried []string)) {
 	for i := range s.parts {
 		if p := &s.parts[i]; p.state != answered {
-			f(i, p.leftOut, p.tried)
+			f(i, p.tried)
 		}
 	}
 }
--- a/internal/serving/server/addresses.go
+++ b/internal/serving/server/addresses.go
@@ -36,7 +36,12 @@
 	discovered := false
 	t := time.NewTicker(recordInterval)
 	defer t.Stop()
-	for ctx.Err() == nil {
+	for first := true; ctx.Err() == nil; first = false {
+		if !discovered && s.gateway.Listed() {
+			// The full list had the records of all hosts.
+			schedule.ReadSucceeded(time.Now())
+			discovered = true
+		}
 		record.Active = schedule.Active(time.Now(), s.active.Load().selfActive)
 		if schedule.RenewDue(time.Now(), record.Active) {
 			if err := s.platform.RenewHostRecord(ctx, record); err != nil && ctx.Err() == nil {
@@ -45,8 +50,8 @@
 				schedule.RenewFailed(time.Now())
 			}
 		}
-		if isolated := s.updateIsolation(); schedule.ReadDue(time.Now(), isolated) && s.discoverHosts(ctx, isolated || !discovered) {
-			schedule.ReadSucceeded()
+		if isolated := s.updateIsolation(); !first && schedule.ReadDue(time.Now(), isolated) && s.discoverHosts(ctx, isolated || !discovered) {
+			schedule.ReadSucceeded(time.Now())
 			discovered = true
 		}
 		select {
