Summarise from logs what requests lost, and for which causes

Change: `fescuerill summary FILE...` groups the requests in the logs of hosts by latency target and cause, with the loss of each.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"text/tabwriter"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -23,14 +24,10 @@
 answered.`,
 		Args: cobra.MinimumNArgs(2),
 		RunE: func(c *cobra.Command, args []string) error {
-			var logs []explain.Log
-			for _, name := range args[1:] {
-				f, err := os.Open(name)
-				if err != nil {
-					return errors.Wrap(err, "open log")
-				}
-				defer func() { _ = f.Close() }()
-				logs = append(logs, explain.Log{Name: filepath.Base(name), Reader: f})
+			logs, closeLogs, err := openLogs(args[1:])
+			defer closeLogs()
+			if err != nil {
+				return err
 			}
 			lines, err := explain.RequestLines(args[0], logs)
 			if err != nil {
@@ -50,3 +47,53 @@
 		},
 	}
 }
+
+func newSummary() *cobra.Command {
+	return &cobra.Command{
+		Use:   "summary FILE...",
+		Short: "Show from the logs of hosts what requests lost, and for which causes",
+		Long: `Show from the logs of hosts what requests lost, and for which causes.
+
+Each row counts the requests with one latency target (aim-ms) and one cause. The
+loss of a request is 1 if it got no answer within its latency target, and 1 minus
+the square of the share of shards in the answer otherwise.`,
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			logs, closeLogs, err := openLogs(args)
+			defer closeLogs()
+			if err != nil {
+				return err
+			}
+			rows, err := explain.Summarise(logs)
+			if err != nil {
+				return err
+			}
+			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', tabwriter.AlignRight)
+			fmt.Fprintln(w, "loss\trequests\tparts\taim-ms\tcause\t")
+			for _, r := range rows {
+				fmt.Fprintf(w, "%.1f\t%d\t%d\t%d\t%s\t\n", r.Loss, r.Requests, r.Parts, r.LatencyTargetMs, r.Cause)
+			}
+			return errors.Wrap(w.Flush(), "write summary")
+		},
+	}
+}
+
+// openLogs opens log files. The returned function closes them.
+func openLogs(names []string) ([]explain.Log, func(), error) {
+	var logs []explain.Log
+	var files []*os.File
+	closeAll := func() {
+		for _, f := range files {
+			_ = f.Close()
+		}
+	}
+	for _, name := range names {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, closeAll, errors.Wrap(err, "open log")
+		}
+		files = append(files, f)
+		logs = append(logs, explain.Log{Name: filepath.Base(name), Reader: f})
+	}
+	return logs, closeAll, nil
+}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -41,7 +41,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newServe(), newHost(), newExplain(), newQuery(), newSettings(), newDataCentre(), newTarget(), newStatus(), newBench(), newDemo(), newVersion())
+	root.AddCommand(newServe(), newHost(), newExplain(), newSummary(), newQuery(), newSettings(), newDataCentre(), newTarget(), newStatus(), newBench(), newDemo(), newVersion())
 	return root
 }
 
