Bound the buffer of a merge by the records that there are

Cause: a relay message or a manifest that states an absurd number of records made Merge allocate for it: makeslice panics, and the whole host ends. Change: the buffer holds at most the records of the parts. The test with unreadable messages to a relay sends frames of the new format: other kinds, wrong types, truncated and endless content, absurd numbers. Measured: TestMergeOfHugeTopK and TestServeSurvivesUnreadableMessages panic on the code before and pass now.

--- a/internal/serving/relay/relay_test.go
+++ b/internal/serving/relay/relay_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -14,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	wire "fescuerill/internal/schema/relay"
 	"fescuerill/internal/serving/exchange"
 	"fescuerill/internal/serving/relay"
 	"fescuerill/internal/serving/search"
@@ -203,21 +206,48 @@
 	assert.False(t, ok)
 }
 
+// frameOf returns a message as it is sent: its length, its kind and its content.
+func frameOf(kind byte, content []byte) []byte {
+	return append(append(binary.AppendUvarint(nil, uint64(len(content))), kind), content...)
+}
+
+// requestFrame returns a request message after a change.
+func requestFrame(t *testing.T, change func(m *wire.Request)) []byte {
+	m := wire.Request{Number: 1, ID: "r", Method: http.MethodGet, Uri: "/", Host: "h", Targets: []string{"a"}, EndUs: 1_000_000, Top: 2}
+	change(&m)
+	content, err := m.MarshalMsg(nil)
+	require.NoError(t, err)
+	return frameOf('q', content)
+}
+
 // TestServeSurvivesUnreadableMessages guards against a panic or a blocked host when a peer
-// sends invalid JSON, invalid parameters or an invalid body.
+// sends messages of another format, invalid content or absurd numbers.
 func TestServeSurvivesUnreadableMessages(t *testing.T) {
 	h := startHost(t, func(context.Context, string, *exchange.Request, func() time.Duration) exchange.Reply {
 		return goodReply("s", "a")
 	})
-	for _, message := range []string{
-		"{]", `{"jsonrpc":"2.0","method":"parts/ask","params":5}`, `{"jsonrpc":"2.0","method":"parts/ask"}`,
-		`{"jsonrpc":"2.0","method":"parts/ask","params":{"targets":[]}}`, `{"jsonrpc":"2.0","method":"parts/cancel","params":{"number":9}}`,
-		`{"jsonrpc":"2.0","method":"parts/ask","params":{"number":1,"targets":["a"],"body":"%%%"}}`,
+	whole := requestFrame(t, func(*wire.Request) {})
+	for name, message := range map[string][]byte{
+		"JSON":                []byte(`{"jsonrpc":"2.0","method":"parts/ask","params":5}` + "\n"),
+		"call":                frameOf('j', []byte(`{"jsonrpc":"2.0","method":"parts/ask","id":1}`)),
+		"invalid call":        frameOf('j', []byte("{]")),
+		"unknown kind":        frameOf('z', nil),
+		"results to a server": frameOf('r', []byte{0x93, 1, 0x90, 0xc0}),
+		"empty request":       frameOf('q', nil),
+		"wrong types":         frameOf('q', []byte{0x9c, 0xc0, 0xc0, 0xc0}),
+		"endless array":       frameOf('q', []byte{0xdd, 0xff, 0xff, 0xff, 0xff}),
+		"too long":            binary.AppendUvarint(nil, 1<<40),
+		"truncated":           whole[:len(whole)-3],
+		"no parts":            requestFrame(t, func(m *wire.Request) { m.Targets = nil }),
+		"negative numbers":    requestFrame(t, func(m *wire.Request) { m.Top, m.FlushUs, m.EndUs, m.SettleUs, m.Number = -1, -1, -1, -1, -1 }),
+		"huge numbers":        requestFrame(t, func(m *wire.Request) { m.Top, m.FlushUs, m.EndUs = math.MaxInt, math.MaxInt, math.MaxInt }),
+		"unknown cancel":      frameOf('c', []byte{0x91, 9}),
 	} {
 		c, err := net.Dial("tcp", h.address)
-		require.NoError(t, err)
-		_, err = c.Write([]byte(message + "\n"))
-		require.NoError(t, err)
+		require.NoError(t, err, name)
+		_, err = c.Write(message)
+		require.NoError(t, err, name)
+		time.Sleep(5 * time.Millisecond)
 		_ = c.Close()
 	}
 	conns := connect(t, h)
--- a/internal/serving/search/merge.go
+++ b/internal/serving/search/merge.go
@@ -15,7 +15,11 @@
 	if topK <= 0 {
 		return dst
 	}
-	best := make([][]byte, 0, topK+1)
+	records := 0
+	for _, p := range parts {
+		records += len(p) / RecordSize
+	}
+	best := make([][]byte, 0, min(topK, records)+1)
 	for _, p := range parts {
 		for ; len(p) >= RecordSize; p = p[RecordSize:] {
 			best = insert(best, p[:RecordSize], topK)
--- a/internal/serving/search/merge_test.go
+++ b/internal/serving/search/merge_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -66,3 +67,9 @@
 		dst = search.Merge(dst[:0], parts, 20)
 	}
 }
+
+// TestMergeOfHugeTopK guards against a panic for a number of records that no memory holds,
+// as a malformed message or manifest may state.
+func TestMergeOfHugeTopK(t *testing.T) {
+	assert.Equal(t, record(1), search.Merge(nil, [][]byte{record(1)}, math.MaxInt))
+}
