--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -300,3 +300,36 @@
 		assert.True(t, f.sink.lastOutage.IsZero(), "the store had no outage for the host that read it")
 	})
 }
+
+// TestRestartedHostDoesNotReviveWithdrawnItems restarts a host while the store is down,
+// after an item was withdrawn and another replaced. The new process must start with what
+// the other hosts know, and the store's return must not bring the item back.
+func TestRestartedHostDoesNotReviveWithdrawnItems(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &store{items: map[string]feed.Item{}}
+		s.write("server", "ready")
+		s.write("manifest", "1")
+		other := follow(ctx, s, &peer{})
+		firstCtx, stop := context.WithCancel(ctx)
+		first := follow(firstCtx, s, &peer{feed: &other.Feed})
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, "ready", first.sink.get("server"))
+		s.write("server", "")
+		s.write("manifest", "2")
+		time.Sleep(1100 * time.Millisecond)
+		s.setFaults(true, false)
+		stop()
+		restarted := follow(ctx, s, &peer{feed: &other.Feed})
+		for range 20 {
+			time.Sleep(500 * time.Millisecond)
+			assert.Empty(t, restarted.sink.get("server"))
+			assert.Equal(t, "2", restarted.sink.get("manifest"))
+		}
+		s.setFaults(false, false)
+		time.Sleep(2 * time.Second)
+		assert.Empty(t, restarted.sink.get("server"))
+		assert.Equal(t, "2", restarted.sink.get("manifest"))
+	})
+}
