Set a relay session's stream before its messages are read

Change: the stream is made first, reading starts after it is set. Measured: go test -race ./internal/serving/relay -count=20 passes; the script failed on the commit before in TestRelayReturnsPartResults and TestSearchIsRelayedThroughDataCentreOfTargets.

--- a/internal/serving/relay/conn.go
+++ b/internal/serving/relay/conn.go
@@ -16,11 +16,15 @@
 // connection.
 const ackTimeout = time.Second
 
-// newConn starts to read messages from a connection and passes them to handleData. There
-// are no JSON-RPC calls between relays.
-func newConn(ctx context.Context, raw net.Conn, handleData func(frame.Kind, []byte) error) (*frame.Stream, *jsonrpc2.Conn) {
-	stream := frame.NewStream(raw, &frame.Traffic{}, handleData)
-	return stream, jsonrpc2.NewConn(ctx, stream, noCalls{}, jsonrpc2.SetLogger(discardLogger{}))
+// newStream returns a stream whose messages are passed to handleData.
+func newStream(raw net.Conn, handleData func(frame.Kind, []byte) error) *frame.Stream {
+	return frame.NewStream(raw, &frame.Traffic{}, handleData)
+}
+
+// readMessages starts to read messages from a stream until the returned connection is
+// closed. There are no JSON-RPC calls between relays.
+func readMessages(ctx context.Context, stream *frame.Stream) *jsonrpc2.Conn {
+	return jsonrpc2.NewConn(ctx, stream, noCalls{}, jsonrpc2.SetLogger(discardLogger{}))
 }
 
 // noCalls is a jsonrpc2.Handler that ignores calls.
--- a/internal/serving/relay/connections.go
+++ b/internal/serving/relay/connections.go
@@ -162,7 +162,8 @@
 	}
 	setAckTimeout(raw)
 	hc.queue.Drain(nil)
-	stream, c := newConn(ctx, raw, hc.handleData)
+	stream := newStream(raw, hc.handleData)
+	c := readMessages(ctx, stream)
 	hc.conn = c
 	go hc.writeLoop(ctx, stream, c)
 }
--- a/internal/serving/relay/serve.go
+++ b/internal/serving/relay/serve.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/jsonrpc2"
 
 	"fescuerill/internal/network/frame"
 	wire "fescuerill/internal/schema/relay"
@@ -33,8 +32,8 @@
 		s := &session{send: send, log: log, cancels: map[int]context.CancelFunc{}}
 		s.ctx, s.cancel = context.WithCancel(ctx)
 		setAckTimeout(raw)
-		var c *jsonrpc2.Conn
-		s.stream, c = newConn(s.ctx, raw, s.handleData)
+		s.stream = newStream(raw, s.handleData)
+		c := readMessages(s.ctx, s.stream)
 		go func() {
 			select {
 			case <-c.DisconnectNotify():
