Take over the store's changes and their revision in one step

Cause: the feed advanced its revision, released its mutex and then stored the items. A host that requested an update in between got the new revision without the changes that led to it, and never asked for them again: a withdrawn item stayed in use there for good.

Change: revision, items and the state of the outage change under one lock. TestUpdateContainsChangesUpToItsRevision requests an update at that moment.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -151,8 +151,7 @@
 		f.storeFailed(ctx, "list", began, err)
 		return
 	}
-	f.storeReplied(began, revision)
-	f.apply(items, true, f.lastOutage())
+	f.storeReplied(began, items, revision, true)
 }
 
 func (f *Feed) watch(ctx context.Context, after int64) {
@@ -171,8 +170,7 @@
 	case err != nil:
 		f.storeFailed(ctx, "watch", began, err)
 	default:
-		f.storeReplied(began, revision)
-		f.apply(items, false, f.lastOutage())
+		f.storeReplied(began, items, revision, false)
 	}
 }
 
@@ -194,9 +192,13 @@
 	f.mu.Lock()
 	older := update.Revision < f.cursor.Revision()
 	f.cursor.PeerReplied(began, now, update.Revision, update.Age, update.LastOutage)
+	var changed []Item
+	if !older {
+		changed = f.merge(update.Items, update.Full)
+	}
 	f.mu.Unlock()
 	if !older {
-		f.apply(update.Items, update.Full, update.LastOutage)
+		f.sink.Apply(now, changed, update.Full, update.LastOutage)
 	}
 }
 
@@ -220,39 +222,31 @@
 	}
 }
 
-func (f *Feed) storeReplied(began time.Time, revision int64) {
+// storeReplied takes over an answer of the store: all items if full is set, or the
+// changes, up to a revision.
+func (f *Feed) storeReplied(began time.Time, items []Item, revision int64, full bool) {
+	now := time.Now()
 	f.mu.Lock()
-	f.cursor.StoreReplied(began, time.Now(), revision)
+	f.cursor.StoreReplied(began, now, revision)
+	changed := f.merge(items, full)
+	lastOutage := f.cursor.LastOutage()
 	regained := f.storeLost
 	f.storeLost = false
 	if regained {
-		f.changedAt = time.Now()
+		f.changedAt = now
 	}
 	f.mu.Unlock()
 	if regained {
 		f.log.Info("store regained", "revision", revision)
 	}
-}
-
-// lastOutage returns the time of the last store outage known to this host, or zero.
-func (f *Feed) lastOutage() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.cursor.LastOutage()
-}
-
-// apply stores the items and passes those that have changed to the sink. lastOutage is
-// the time of the last store outage for the host that read them.
-func (f *Feed) apply(items []Item, full bool, lastOutage time.Time) {
-	now := time.Now()
-	sort.SliceStable(items, func(i, j int) bool { return items[i].Revision < items[j].Revision })
-	f.mu.Lock()
-	changed := f.merge(items, full)
-	f.mu.Unlock()
 	f.sink.Apply(now, changed, full, lastOutage)
 }
 
+// merge stores the items and returns those that have changed, in the order of their
+// revisions. The mutex must be held since the cursor's revision was advanced: an update
+// for another host must contain all changes up to the revision that it states.
 func (f *Feed) merge(items []Item, full bool) []Item {
+	sort.SliceStable(items, func(i, j int) bool { return items[i].Revision < items[j].Revision })
 	var changed []Item
 	if full {
 		changed = f.deleteMissing(items)
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -301,6 +301,52 @@
 	})
 }
 
+// updateOnRegain is a log handler that requests an update, as another host would, at the
+// moment a feed logs that the store is reachable again.
+type updateOnRegain struct {
+	slog.Handler
+	feed    *feed.Feed
+	updates []feed.Update
+}
+
+func (h *updateOnRegain) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == "store regained" {
+		update, _ := h.feed.UpdateSince(time.Now(), 1, false)
+		h.updates = append(h.updates, update)
+	}
+	return nil
+}
+
+func (h *updateOnRegain) Enabled(context.Context, slog.Level) bool { return true }
+
+// TestUpdateContainsChangesUpToItsRevision requests an update while the feed takes over an
+// answer of the store. An update that states the new revision without the deletion that
+// led to it would leave the item in use at the other host for good.
+func TestUpdateContainsChangesUpToItsRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &store{items: map[string]feed.Item{}}
+		s.write("server", "ready")
+		f := &follower{sink: sink{values: map[string]string{}}}
+		h := &updateOnRegain{Handler: slog.DiscardHandler, feed: &f.Feed}
+		f.Reset(s, &peer{}, &f.sink, slog.New(h), &stats.Registry{})
+		go f.Run(ctx)
+		time.Sleep(10 * time.Millisecond)
+		s.setFaults(true, false)
+		time.Sleep(10 * time.Second)
+		s.write("server", "")
+		s.setFaults(false, false)
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		assert.Len(t, h.updates, 1)
+		for _, update := range h.updates {
+			assert.Equal(t, int64(2), update.Revision)
+			assert.Len(t, update.Items, 1, "the deletion at revision 2")
+		}
+	})
+}
+
 // TestRestartedHostDoesNotReviveWithdrawnItems restarts a host while the store is down,
 // after an item was withdrawn and another replaced. The new process must start with what
 // the other hosts know, and the store's return must not bring the item back.
