--- a/internal/daemon/coordinator.go
+++ b/internal/daemon/coordinator.go
@@ -259,22 +259,19 @@
 // run runs a search under the best snapshot, and under a newer one if the
 // targets have dropped that snapshot.
 func (c *coordinator) run(ctx context.Context, resolved *settings.Resolved, s search, p settings.Policy) result {
-	after := 0
 	var best query.Answer
-	for try := 0; try <= maxRestarts; try++ {
-		m := c.shardMaps.get(c, resolved, s.scope, after)
-		if m == nil {
-			break
-		}
+	m := c.shardMaps.get(c, resolved, s.scope, 0)
+	for try := 0; m != nil; try++ {
 		q, a := c.runAttempt(ctx, resolved, s, m)
 		if try == 0 || a.Coverage.Fraction() > best.Coverage.Fraction() {
 			best = a
 		}
-		if q.SnapshotGoneCount() == 0 || a.Coverage.Fraction() == 1 || !time.Now().Before(s.deadline) || ctx.Err() != nil {
+		if q.SnapshotGoneCount() == 0 || a.Coverage.Fraction() == 1 || !time.Now().Before(s.deadline) || ctx.Err() != nil || try == maxRestarts {
 			break
 		}
-		after = m.Snapshot()
-		c.stats.Add("restarts-newer-snapshot", 1)
+		if m = c.newerShardMap(ctx, resolved, s, m); m != nil {
+			c.stats.Add("restarts-newer-snapshot", 1)
+		}
 	}
 	if best.Coverage.Snapshot == 0 {
 		return c.refuse(&p, "no-snapshot")
@@ -282,6 +279,24 @@
 	return result{answer: best}
 }
 
+// newerShardMap returns the shard map of a newer snapshot than that of m, or nil. Hosts
+// learn from replies which snapshots a target holds. Targets that replied before they
+// dropped the snapshot of m have not reported the newer one, so their services are
+// searched again first.
+func (c *coordinator) newerShardMap(ctx context.Context, resolved *settings.Resolved, s search, m *snapshot.ShardMap) *snapshot.ShardMap {
+	newer := c.shardMaps.get(c, resolved, s.scope, m.Snapshot())
+	if newer == nil {
+		return nil
+	}
+	unreported := m.Restrict(newer.Incomplete())
+	if len(unreported.Shards()) == 0 {
+		return newer
+	}
+	c.stats.Add("restarts-holdings-unreported", 1)
+	c.runAttempt(ctx, resolved, s, unreported)
+	return c.shardMaps.get(c, resolved, s.scope, m.Snapshot())
+}
+
 // runAttempt runs a query under one snapshot until it is finished or its
 // deadline has passed.
 func (c *coordinator) runAttempt(ctx context.Context, resolved *settings.Resolved, s search, m *snapshot.ShardMap) (*query.Query, query.Answer) {
--- a/internal/trial/fakeclock_test.go
+++ b/internal/trial/fakeclock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"path"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,6 +52,30 @@
 	return float64(covered) / float64(max(1, all))
 }
 
+// TestSnapshotDroppedWhileSearchRuns replaces the only snapshot of every target after
+// those of all services but one have answered a search. The hosts have heard of the new
+// snapshot only from the last service, and the search must still cover every shard.
+func TestSnapshotDroppedWhileSearchRuns(t *testing.T) {
+	withFakeClock(t, trial.Options{Hosts: 3, Target: standin.TargetOptions{StartWarm: true}}, func(t *testing.T, cluster *trial.Cluster) {
+		require.Equal(t, 1.0, searchCoverage(t, cluster, 20))
+		deployment := cluster.Deployment()
+		slowService := path.Dir(deployment.TargetPaths()[0])
+		for _, p := range deployment.TargetPaths() {
+			if path.Dir(p) == slowService {
+				deployment.Target(p).SetFaults(standin.TargetFaults{LatencyFactor: 200})
+			}
+		}
+		time.AfterFunc(100*time.Millisecond, func() { deployment.SetSnapshots(9) })
+		client := cluster.NewCaller()
+		defer client.Close()
+		a, err := client.SearchHost(context.Background(), cluster.Daemons()[0].CallerAddress(), caller.Search{Terms: "target"})
+		require.NoError(t, err)
+		assert.Equal(t, 9, a.Coverage.Snapshot)
+		assert.Empty(t, a.Coverage.Missing)
+		assert.Positive(t, cluster.Counter("restarts-newer-snapshot"))
+	})
+}
+
 // TestHostsPartitionedFromStore disconnects a third of the hosts from the store,
 // but not from other hosts, for a minute. Their targets must move to the hosts
 // that reach the store, and searches sent to any host must still cover all shards.
--- a/snapshot/shardmap.go
+++ b/snapshot/shardmap.go
@@ -62,6 +62,28 @@
 	return n
 }
 
+// Incomplete returns the services that are unmapped or have a shard without a holder.
+func (m *ShardMap) Incomplete() []string {
+	services := slices.Clone(m.unmapped)
+	for _, s := range m.shards {
+		if len(s.holders) == 0 && !slices.Contains(services, s.service) {
+			services = append(services, s.service)
+		}
+	}
+	return services
+}
+
+// Restrict returns the shard map of those of the services that m maps to shards.
+func (m *ShardMap) Restrict(services []string) *ShardMap {
+	restricted := &ShardMap{snapshot: m.snapshot}
+	for _, s := range m.shards {
+		if slices.Contains(services, s.service) {
+			restricted.shards = append(restricted.shards, s)
+		}
+	}
+	return restricted
+}
+
 // heldFraction returns the fraction of all shards that have a holder. An unmapped
 // service counts as one shard without a holder.
 func (m *ShardMap) heldFraction() float64 {
@@ -124,20 +146,23 @@
 	return m
 }
 
-// shardsOf returns the shards of one service. Targets that disagree with the first one
-// on the number of shards are ignored.
+// shardsOf returns the shards of one service. Targets that disagree with the first usable
+// one on the number of shards are ignored.
 func (c *Catalog) shardsOf(number int, s Service, usable func(string) bool) []Shard {
 	var shards []Shard
+	counted := false
 	for _, t := range s.Targets {
 		holdings := c.targets[t].holdings
 		i := slices.IndexFunc(holdings, func(h Holding) bool { return h.snapshot == number })
 		if i < 0 {
 			continue
 		}
-		if shards == nil {
+		accepted := usable(t)
+		if shards == nil || accepted && !counted {
 			shards = newShards(s.Path, holdings[i].shardCount)
+			counted = accepted
 		}
-		if holdings[i].shardCount != len(shards) || !usable(t) {
+		if holdings[i].shardCount != len(shards) || !accepted {
 			continue
 		}
 		for _, n := range holdings[i].shardNumbers {
