Divide the retry allowance among the hosts that send parts

Change: it is divided by the largest number of active hosts seen in the last 15 s. A window gains a larger allowance over its length, so that hosts that take over from others stay within the common limit in any span.

The simulation of hosts that take over from others stays within the limit.

--- a/budget/window_test.go
+++ b/budget/window_test.go
@@ -90,3 +90,59 @@
 	w.AddInitial(later)
 	assert.True(t, w.TryWithdraw(later))
 }
+
+// TestLargerAllowanceIsGainedOverTime changes the allowance of a window while it is used.
+func TestLargerAllowanceIsGainedOverTime(t *testing.T) {
+	var w budget.Window
+	start := time.Unix(1000, 0)
+	w.Reset(start, window, 0, 10)
+	later := start.Add(window)
+	w.SetAllowance(later, 100)
+	assert.Equal(t, 10, w.Available(later))
+	assert.Equal(t, 30, w.Available(later.Add(window/2)))
+	assert.Equal(t, 50, w.Available(later.Add(window)))
+	assert.Equal(t, 100, w.Available(later.Add(3*window)))
+	w.SetAllowance(later.Add(3*window), 10)
+	assert.Equal(t, 10, w.Available(later.Add(3*window)))
+}
+
+// TestWindowsStayWithinCommonLimitWhenSendersChange has few of many hosts send, each with
+// its part of the allowance for these, and the others with a part for all hosts. At times
+// another few take over at once. Each tries to send an additional request all the time.
+func TestWindowsStayWithinCommonLimitWhenSendersChange(t *testing.T) {
+	const senders, step = 2, 10 * time.Millisecond
+	start := time.Unix(1000, 0)
+	r := rand.New(rand.NewPCG(11, 7))
+	windows := make([]budget.Window, hostCount)
+	for i := range windows {
+		windows[i].Reset(start, window*11/10, 0, allowance*0.5/hostCount)
+	}
+	var additional []int
+	first := 0
+	for n := range 12000 {
+		now := start.Add(time.Duration(n) * step)
+		if r.IntN(700) == 0 {
+			first = r.IntN(hostCount)
+		}
+		sent := 0
+		for i := range windows {
+			sends := (i-first+hostCount)%hostCount < senders
+			if sends {
+				windows[i].SetAllowance(now, allowance*0.5/senders)
+			} else {
+				windows[i].SetAllowance(now, allowance*0.5/hostCount)
+			}
+			if windows[i].TryWithdraw(now) {
+				sent++
+			}
+		}
+		additional = append(additional, sent)
+	}
+	span := int(window / step)
+	most := 0
+	for n := span; n < len(additional); n++ {
+		most = max(most, sum(additional, n-span, n))
+	}
+	assert.LessOrEqual(t, float64(most), allowance)
+	assert.Greater(t, float64(most), allowance/2, "the senders use their parts")
+}
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -46,13 +46,13 @@
 
 // Fleet gives access to the other hosts.
 type Fleet interface {
-	// Size returns the number of hosts, including this one and those that died
-	// recently.
-	Size() int
 	// LocalConnectingHosts and ConnectingHosts return the number of hosts that share the
 	// connections to a target: those in the data centre of this host, and all.
 	LocalConnectingHosts() int
 	ConnectingHosts() int
+	// Senders returns the number of hosts among which the allowance for retries is
+	// divided.
+	Senders() int
 	// AddHost adds a host that has a record in the store.
 	AddHost(peers.Host)
 	// SetSizeKnown records that all hosts with a record in the store have been added.
@@ -207,7 +207,7 @@
 
 // maintain drops expired targets and adjusts budgets and connection limits to the fleet.
 func (g *Gateway) maintain(now time.Time) {
-	size := g.fleet.Size()
+	senders := g.fleet.Senders()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var dropped []string
@@ -220,7 +220,7 @@
 		g.log.Info("targets", "changes", strings.Join(dropped, " "), "known", g.catalog.Len(), "reason", "not-back-after-trouble")
 	}
 	for _, w := range g.retryBudgets {
-		w.SetAllowance(g.bounds.RetryAllowance * retryAllowanceShare / float64(size))
+		w.SetAllowance(now, g.bounds.RetryAllowance*retryAllowanceShare/float64(senders))
 	}
 	g.tracker.Expire(now)
 	g.catalog.Each(func(e *catalog.Entry) { g.pool.SetMaxConns(e.ID, g.connectionLimit(e)) })
@@ -252,7 +252,7 @@
 	if w == nil {
 		w = &budget.Window{}
 		b := g.bounds
-		w.Reset(now, time.Duration(retryWindowMargin*float64(b.RetryWindow)), b.RetryFraction, b.RetryAllowance*retryAllowanceShare/float64(g.fleet.Size()))
+		w.Reset(now, time.Duration(retryWindowMargin*float64(b.RetryWindow)), b.RetryFraction, b.RetryAllowance*retryAllowanceShare/float64(g.fleet.Senders()))
 		g.retryBudgets[service] = w
 	}
 	return w
--- a/internal/serving/server/active.go
+++ b/internal/serving/server/active.go
@@ -27,6 +27,8 @@
 	// which the connections to a target are divided: the active hosts. If this host is on
 	// standby, both are the number of the other live hosts, but at least 1.
 	local, total int
+	// senders is the number of hosts among which the retry allowance is divided.
+	senders int
 	// localPeers holds the peer addresses of the other active hosts of this data centre;
 	// it is empty if no host is on standby.
 	localPeers []string
@@ -70,6 +72,7 @@
 	if !a.selfActive {
 		a.local, a.total = max(1, alive), max(1, alive)
 	}
+	a.senders = s.senders.Observe(now, a.total)
 	return a
 }
 
@@ -154,6 +157,11 @@
 	return max(f.server.active.Load().total, f.sizeUntilKnown(f.Size()))
 }
 
+// Senders implements gateway.Fleet.
+func (f fleet) Senders() int {
+	return max(f.server.active.Load().senders, f.sizeUntilKnown(f.Size()))
+}
+
 // sizeUntilKnown returns n until the size of the fleet is known, and 1 from then on.
 func (f fleet) sizeUntilKnown(n int) int {
 	if f.SizeKnown() {
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -83,6 +83,8 @@
 	cancel        context.CancelFunc
 	stopping      atomic.Bool
 	active        atomic.Pointer[activeHosts]
+	// senders is used only by selectActive.
+	senders directory.Senders
 	// lastRequest is when the last request arrived, in nanoseconds since startedAt.
 	lastRequest atomic.Int64
 	startedAt   time.Time
