Tell callers to return later the longer a starting host waits for its manifest

Cause: when all hosts start while the store is silent, callers came back after 0.3 to 0.6 s, were refused again and had no retry left.

Change: Retry-After is the time that the host has waited so far, 0.3 to 3 s, and up to as much again at random.

--- a/internal/serving/gateway/bounds.go
+++ b/internal/serving/gateway/bounds.go
@@ -42,9 +42,10 @@
 	// minTimeToShutdown is the time before its shutdown from which a host refuses
 	// requests; if the latency target of the route is longer, that applies.
 	minTimeToShutdown = 250 * time.Millisecond
-	// startupRetryAfter is the time after which a caller should retry that was refused
-	// because the host has no manifest yet.
-	startupRetryAfter = 300 * time.Millisecond
+	// minStartupRetryAfter and maxStartupRetryAfter bound the time after which a caller
+	// should retry that was refused because the host has no manifest yet.
+	minStartupRetryAfter = 300 * time.Millisecond
+	maxStartupRetryAfter = 3 * time.Second
 	// maxRequests is the maximum number of requests in flight.
 	maxRequests = 512
 	// maxSearches is the maximum number of searches in flight, and limitCutPeriod the
--- a/internal/serving/gateway/deadlines.go
+++ b/internal/serving/gateway/deadlines.go
@@ -42,3 +42,10 @@
 func SoftDeadlineAfter(latencyTarget, roundTrip time.Duration) time.Duration {
 	return max(latencyTarget/2, latencyTarget-softDeadlineMargin-softDeadlineRoundTrips*roundTrip)
 }
+
+// StartupRetryAfter returns the time after which a caller should retry that was refused by
+// a host which has waited for its manifest for some time. If the store is silent, the wait
+// to come is about as long as the one so far.
+func StartupRetryAfter(waited time.Duration) time.Duration {
+	return min(maxStartupRetryAfter, max(minStartupRetryAfter, waited))
+}
--- a/internal/serving/gateway/deadlines_test.go
+++ b/internal/serving/gateway/deadlines_test.go
@@ -24,3 +24,18 @@
 		assert.Equal(t, test.want, got, name)
 	}
 }
+
+// TestStartupRetryAfterFollowsOutage has a host wait for its manifest while the store is
+// silent. A caller that repeats a request once must not be refused twice early in a long
+// outage.
+func TestStartupRetryAfterFollowsOutage(t *testing.T) {
+	const ms = time.Millisecond
+	tests := map[string]struct{ waited, want time.Duration }{
+		"just started":  {5 * ms, 300 * ms},
+		"store silent":  {1400 * ms, 1400 * ms},
+		"long silence":  {time.Minute, 3000 * ms},
+	}
+	for name, test := range tests {
+		assert.Equal(t, test.want, gateway.StartupRetryAfter(test.waited), name)
+	}
+}
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -68,6 +68,7 @@
 // Gateway serves requests. Use New to create one. Its methods are safe for concurrent
 // use.
 type Gateway struct {
+	startedAt  time.Time
 	dataCentre string
 	fleet      Fleet
 	decoder    Decoder
@@ -120,7 +121,7 @@
 func New(ctx context.Context, o Options) *Gateway {
 	g := &Gateway{
 		dataCentre: o.DataCentre, fleet: o.Fleet, decoder: o.Decoder, log: o.Log, stats: o.Stats,
-		bounds: o.Bounds, random: o.Random, retryBudgets: map[string]*budget.Window{},
+		startedAt: time.Now(), bounds: o.Bounds, random: o.Random, retryBudgets: map[string]*budget.Window{},
 	}
 	g.relays.Reset(ctx, o.Log)
 	g.limiter.Reset(maxSearches, limitCutPeriod)
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -58,7 +58,7 @@
 func (g *Gateway) Serve(ctx context.Context, req *Request) Answer {
 	m := g.manifest.Load()
 	if m == nil {
-		return g.refuse(req, nil, "no-manifest", startupRetryAfter)
+		return g.refuse(req, nil, "no-manifest", g.jitter(StartupRetryAfter(time.Since(g.startedAt))))
 	}
 	route := m.Route(req.Host, req.Path)
 	if route == nil {
