Ask hosts for their revision before a full update; let cold permissions expire

Cause: a host that starts while the store is silent took its first list from a random host, which may itself be cut off: withdrawn items were in use again until another host answered. And a request to a cold target that a host was allowed to send could be written after a pause, beside the next one.

Change: up to three hosts are asked for their revision, and the list comes from the most current; a request to a rate-limited cold target is written within 100 ms of the decision or not at all.

--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -38,12 +38,20 @@
 	*peers.Peers
 	address string
 	conn    *lossyConn
+	source  *updates
 	stop    context.CancelFunc
 }
 
-type fixedUpdates struct{}
+// updates is an UpdateSource at a revision. At revision 0 it has two changes after any
+// revision.
+type updates struct {
+	revision atomic.Int64
+}
 
-func (fixedUpdates) UpdateSince(_ time.Time, after int64, full bool) (feed.Update, bool) {
+func (u *updates) UpdateSince(_ time.Time, after int64, full bool) (feed.Update, bool) {
+	if at := u.revision.Load(); at > 0 {
+		return feed.Update{Revision: at, Full: full}, true
+	}
 	return feed.Update{
 		Items:    []feed.Item{{Key: "k", Value: []byte{0, 255}, Revision: after + 1}, {Key: "g", Revision: after + 2, Deleted: true}},
 		Revision: after + 2, Full: full, Age: time.Second, LastOutage: time.Now().Add(-time.Minute),
@@ -55,10 +63,10 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	conn, l := listenBoth(t)
 	address := conn.LocalAddr().String()
-	m := &member{address: address, conn: &lossyConn{PacketConn: conn}, stop: cancel}
+	m := &member{address: address, conn: &lossyConn{PacketConn: conn}, source: &updates{}, stop: cancel}
 	self := peers.Self{Address: address, DataCentre: dataCentre, Incarnation: fmt.Sprint("run", n)}
 	m.Peers = peers.Start(ctx, self, m.conn, rand.New(rand.NewPCG(uint64(n), 1)), slog.New(slog.DiscardHandler), &stats.Registry{})
-	go m.Serve(ctx, l, fixedUpdates{})
+	go m.Serve(ctx, l, m.source)
 	m.ProbeAll(seeds)
 	return m
 }
@@ -150,6 +158,25 @@
 	assert.False(t, single.HasLive())
 }
 
+// TestFullUpdateComesFromMostCurrentHost starts a host while the store is silent for it, and
+// for all other hosts but one. Items that were withdrawn after these were cut off must not
+// be in its first list.
+func TestFullUpdateComesFromMostCurrentHost(t *testing.T) {
+	all := fleet(t, 4)
+	for i, revision := range []int64{9, 40, 41, 40} {
+		all[i].source.revision.Store(revision)
+	}
+	for range 10 {
+		got, err := all[0].FetchUpdate(t.Context(), 0, true)
+		require.NoError(t, err)
+		assert.Equal(t, int64(41), got.Revision)
+	}
+	all[2].stop()
+	got, err := all[0].FetchUpdate(t.Context(), 0, true)
+	require.NoError(t, err)
+	assert.Equal(t, int64(40), got.Revision, "a host that does not reply is left out")
+}
+
 func TestAssumesFleetSizeUntilKnown(t *testing.T) {
 	m := join(t, 1, "a")
 	assert.Greater(t, m.Size(), 1)
--- a/internal/fleet/peers/updates.go
+++ b/internal/fleet/peers/updates.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"math"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +25,17 @@
 // designated reader of its own, a host that reads the store on behalf of the others.
 const minReaderHosts = 4
 
+const (
+	// currentPeers is the number of hosts that are asked for their revision before a full
+	// update is requested from one of them, and currentTimeout the time that they have.
+	currentPeers   = 3
+	currentTimeout = 200 * time.Millisecond
+)
+
+// futureRevision is a revision that the store does not reach. An update with the changes
+// after it has no items.
+const futureRevision = math.MaxInt64 / 2
+
 // errNoPeer is returned when there is no other host to request an update from.
 var errNoPeer = errors.New("no other host is alive")
 
@@ -175,37 +188,81 @@
 	return found[0], true
 }
 
-// FetchUpdate implements feed.Peers. A full update is requested from a random host.
+// FetchUpdate implements feed.Peers. A full update is requested from the most current of a
+// few random hosts: some may be cut off from the store themselves.
 func (p *Peers) FetchUpdate(ctx context.Context, after int64, full bool) (feed.Update, error) {
 	address, fromReader := p.reader()
 	ok := fromReader
-	if full || !ok {
+	switch {
+	case full:
 		fromReader = false
+		address, ok = p.mostCurrentPeer(ctx)
+	case !ok:
 		address, ok = p.randomPeer()
 	}
 	if !ok {
 		return feed.Update{}, errNoPeer
 	}
+	reply, err := p.requestUpdate(ctx, address, after, full)
+	if err != nil {
+		return feed.Update{}, err
+	}
+	now := time.Now()
+	if fromReader {
+		p.setTotalLoad(now, reply.PartsPerSecond)
+	}
+	return decodeUpdate(now, reply)
+}
+
+// requestUpdate requests an update from the host at an address.
+func (p *Peers) requestUpdate(ctx context.Context, address string, after int64, full bool) (fleet.UpdateReply, error) {
+	var reply fleet.UpdateReply
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return feed.Update{}, errors.Wrap(err, "connect to host")
+		return reply, errors.Wrap(err, "connect to host")
 	}
 	client := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(
 		func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no methods here"}
 		}))
 	defer func() { _ = client.Close() }()
-	var reply fleet.UpdateReply
 	request := fleet.UpdateRequest{
 		Revision: int(after), Whole: full, From: p.self.Address, DataCentre: p.self.DataCentre, PartsPerSecond: p.ownLoad(),
 	}
 	if err := client.Call(ctx, updateMethod, request, &reply); err != nil {
-		return feed.Update{}, errors.Wrap(err, "fetch store update from host "+address)
+		return reply, errors.Wrap(err, "fetch store update from host "+address)
 	}
-	now := time.Now()
-	if fromReader {
-		p.setTotalLoad(now, reply.PartsPerSecond)
+	return reply, nil
+}
+
+// mostCurrentPeer returns the address of the host with the latest revision among up to
+// currentPeers random hosts that reply within currentTimeout, and whether one has replied.
+func (p *Peers) mostCurrentPeer(ctx context.Context) (string, bool) {
+	p.mu.Lock()
+	addresses := p.members.RandomAlive(nil, currentPeers, "")
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, currentTimeout)
+	defer cancel()
+	revisions := make([]int, len(addresses))
+	var requests sync.WaitGroup
+	for i, address := range addresses {
+		requests.Go(func() {
+			revisions[i] = -1
+			if reply, err := p.requestUpdate(ctx, address, futureRevision, false); err == nil {
+				revisions[i] = reply.Revision
+			}
+		})
 	}
-	return decodeUpdate(now, reply)
+	requests.Wait()
+	best := -1
+	for i, revision := range revisions {
+		if revision >= 0 && (best < 0 || revision > revisions[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return "", false
+	}
+	return addresses[best], true
 }
--- a/internal/serving/gateway/chooser.go
+++ b/internal/serving/gateway/chooser.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"fescuerill/internal/routing/catalog"
 	"fescuerill/internal/serving/replicas"
 	"fescuerill/internal/serving/search"
 )
@@ -42,7 +43,7 @@
 	g := c.g
 	entries := g.catalog.Service(c.services[part])
 	candidates := make([]replicas.Candidate, 0, len(entries))
-	anyWarm, rateLimited := false, g.maxColdRate(c.services[part]) > 0
+	anyWarm := false
 	for _, e := range entries {
 		if !g.catalog.Usable(e) {
 			continue
@@ -51,7 +52,7 @@
 		anyWarm = anyWarm || !cold
 		candidates = append(candidates, replicas.Candidate{
 			ID: e.ID, Slots: e.Slots, Local: e.DataCentre == g.dataCentre, AtConnectionLimit: g.pool.Exhausted(e.ID),
-			Warming: cold, RateLimited: cold && rateLimited,
+			Warming: cold, RateLimited: g.rateLimited(c.now, e),
 		})
 	}
 	return c.withoutCold(candidates, anyWarm)
@@ -89,6 +90,12 @@
 	return g.coldStarts.Allowed(now, id, g.fleet.RendezvousRank(id), ratePerSecond)
 }
 
+// rateLimited reports whether a target is cold and its service limits the requests to cold
+// targets.
+func (g *Gateway) rateLimited(now time.Time, e *catalog.Entry) bool {
+	return now.Before(e.ColdUntil) && g.maxColdRate(e.Service) > 0
+}
+
 // maxColdRate returns the number of requests a second that a cold target of a service can
 // handle, or 0 if the manifest sets no limit: then a cold target is only slower.
 func (g *Gateway) maxColdRate(service string) float64 {
--- a/internal/serving/gateway/deadlines_test.go
+++ b/internal/serving/gateway/deadlines_test.go
@@ -31,9 +31,9 @@
 func TestStartupRetryAfterFollowsOutage(t *testing.T) {
 	const ms = time.Millisecond
 	tests := map[string]struct{ waited, want time.Duration }{
-		"just started":  {5 * ms, 300 * ms},
-		"store silent":  {1400 * ms, 1400 * ms},
-		"long silence":  {time.Minute, 3000 * ms},
+		"just started": {5 * ms, 300 * ms},
+		"store silent": {1400 * ms, 1400 * ms},
+		"long silence": {time.Minute, 3000 * ms},
 	}
 	for name, test := range tests {
 		assert.Equal(t, test.want, gateway.StartupRetryAfter(test.waited), name)
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -179,13 +179,13 @@
 	e := r.g.catalog.Get(a.Target)
 	token := r.g.tracker.Begin(now, a.Target, r.typical)
 	r.g.partsSent.Add(1)
-	go r.send(a, exchange.Target{ID: e.ID, Address: e.Address}, token)
+	go r.send(now, a, exchange.Target{ID: e.ID, Address: e.Address}, token)
 }
 
-// send exchanges a part with its target and delivers the result.
-func (r *activeRequest) send(a search.Attempt, t exchange.Target, token uint64) {
+// send exchanges a part with the target that was chosen at a time and delivers the result.
+func (r *activeRequest) send(chosenAt time.Time, a search.Attempt, t exchange.Target, token uint64) {
 	g := r.g
-	reply := g.pool.Do(r.ctx, t, &r.outgoing, func() time.Duration { return r.timeLeft(a.Target) })
+	reply := g.pool.Do(r.ctx, t, &r.outgoing, func() time.Duration { return r.timeLeft(a.Target, chosenAt) })
 	now := time.Now()
 	result := r.replicaResult(reply, now)
 	g.mu.Lock()
@@ -206,18 +206,20 @@
 }
 
 // timeLeft returns the time budget for a part that is about to be written to its target,
-// or 0 if the target is not usable any more. The part has to be answered by the soft
+// or 0 if the target is not usable any more or the permission to send to it while it is
+// cold, given when it was chosen, has expired. The part has to be answered by the soft
 // deadline, so that a busy target does no work for an answer that comes too late. When
 // less than minPartTime is left until then, or it has passed with too few parts, the
 // deadline applies.
-func (r *activeRequest) timeLeft(target string) time.Duration {
+func (r *activeRequest) timeLeft(target string, chosenAt time.Time) time.Duration {
+	now := time.Now()
 	r.g.mu.Lock()
 	e := r.g.usableTarget(target)
+	allowed := e != nil && (!r.g.rateLimited(now, e) || r.g.coldStarts.PermissionValid(now, chosenAt))
 	r.g.mu.Unlock()
-	if e == nil {
+	if !allowed {
 		return 0
 	}
-	now := time.Now()
 	if !r.plan.SoftDeadline.IsZero() && now.Add(minPartTime).Before(r.plan.SoftDeadline) {
 		return r.plan.SoftDeadline.Sub(now)
 	}
--- a/internal/serving/replicas/cold.go
+++ b/internal/serving/replicas/cold.go
@@ -6,6 +6,9 @@
 	// minColdInterval is the time between two requests of one host to a cold target. It
 	// is longer than a second, so that a host never sends two within any second.
 	minColdInterval = 1100 * time.Millisecond
+	// coldPermissionTTL is how long after the decision a request to a cold target can be
+	// written. What is left of minColdInterval after it is a second.
+	coldPermissionTTL = minColdInterval - time.Second
 	// coldCapacityShare is the share of the rate limit of a cold target that the hosts
 	// use, so that they stay within the limit while they disagree on which hosts are
 	// live.
@@ -31,6 +34,12 @@
 	return rank < int(coldCapacityShare*ratePerSecond) && (!sent || now.Sub(lastSent) >= minColdInterval)
 }
 
+// PermissionValid reports whether a request to a cold target that was allowed at a time can
+// still be written. A host that was paused meanwhile may have allowed another one.
+func (l *ColdStartLimiter) PermissionValid(now, allowedAt time.Time) bool {
+	return now.Sub(allowedAt) <= coldPermissionTTL
+}
+
 // Record records that a request is sent to a cold target.
 func (l *ColdStartLimiter) Record(now time.Time, id string) {
 	if l.lastSent == nil {
--- a/internal/serving/replicas/cold_test.go
+++ b/internal/serving/replicas/cold_test.go
@@ -64,3 +64,41 @@
 }
 
 func weight(host int) uint64 { return owner.RendezvousWeight("t", fmt.Sprint("host", host)) }
+
+// TestPausedHostWritesNoSecondColdRequest has one host decide to send to a cold target
+// whenever that is allowed, while it is paused at random between a decision and the writing
+// of the request. No second may have two requests.
+func TestPausedHostWritesNoSecondColdRequest(t *testing.T) {
+	type pending struct{ allowedAt, writeAt int }
+	r := rand.New(rand.NewPCG(5, 5))
+	var limiter replicas.ColdStartLimiter
+	var waiting []pending
+	var written []int
+	resumesAt := 0
+	for ms := range 120_000 {
+		if r.IntN(1500) == 0 {
+			resumesAt = ms + r.IntN(4000)
+		}
+		if ms < resumesAt {
+			continue
+		}
+		kept := waiting[:0]
+		for _, w := range waiting {
+			switch {
+			case ms < w.writeAt:
+				kept = append(kept, w)
+			case limiter.PermissionValid(at(ms), at(w.allowedAt)):
+				written = append(written, ms)
+			}
+		}
+		waiting = kept
+		if limiter.Allowed(at(ms), "t", 0, 2) {
+			limiter.Record(at(ms), "t")
+			waiting = append(waiting, pending{ms, ms + r.IntN(200)})
+		}
+	}
+	assert.Greater(t, len(written), 20)
+	for i := range written[1:] {
+		assert.GreaterOrEqual(t, written[i+1]-written[i], 1000, "at %d ms", written[i])
+	}
+}
