Hedge later on hosts that have just started

Cause: after a power cut all callers come back within a second. The first searches queue at targets, and hosts without recent latencies hedged at 0.3 of the latency target: 748 hedges in the two seconds of the surge, for parts that only waited behind others.

Change: in the first 3 s of a host searches are hedged at 0.6 of their latency target. HedgeDelay is a function of package search, free of I/O; the replay of load has targets with slots, queues and time limits, and a surge.

--- a/internal/serving/gateway/bounds.go
+++ b/internal/serving/gateway/bounds.go
@@ -88,9 +88,8 @@
 	retryWindowMargin = 1.1
 	// hedgeQuantile is the quantile of recent latencies that sets the hedge delay.
 	hedgeQuantile = 0.97
-	// maxSearchHedgeShare and maxSingleTargetHedgeShare bound the hedge delay of searches
-	// and of requests to a single target, as shares of the latency target.
-	maxSearchHedgeShare       = 0.3
+	// maxSingleTargetHedgeShare bounds the hedge delay of requests to a single target, as a
+	// share of the latency target.
 	maxSingleTargetHedgeShare = 0.5
 	// defaultTypicalShare is the assumed typical latency, as a share of the latency
 	// target, until enough latencies are known.
--- a/internal/serving/gateway/deadlines.go
+++ b/internal/serving/gateway/deadlines.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"fescuerill/internal/serving/search"
+)
 
 // setDeadlines sets the deadline, the typical latency and the hedge delay of the request.
 func (r *activeRequest) setDeadlines() {
@@ -29,11 +33,13 @@
 	if !r.route.Idempotent {
 		return
 	}
-	maxShare := maxSingleTargetHedgeShare
+	hedgeDelay = max(hedgeDelay, r.typical*3/2)
 	if r.route.IsSearch() {
-		maxShare = maxSearchHedgeShare
+		hedgeDelay = search.HedgeDelay(latencyTarget, hedgeDelay, time.Since(r.g.startedAt))
+	} else {
+		hedgeDelay = min(hedgeDelay, time.Duration(maxSingleTargetHedgeShare*float64(latencyTarget)))
 	}
-	r.plan.HedgeDelay = max(minHedgeDelay, min(max(hedgeDelay, r.typical*3/2), time.Duration(maxShare*float64(latencyTarget))))
+	r.plan.HedgeDelay = max(minHedgeDelay, hedgeDelay)
 }
 
 // SoftDeadlineAfter returns the time from the arrival of a search to its soft deadline,
--- a/internal/serving/search/hedge.go
+++ b/internal/serving/search/hedge.go
@@ -12,8 +12,23 @@
 	// after hedgeRecheckShare of the hedge delay, but at least minHedgeRecheck.
 	hedgeRecheckShare = 0.25
 	minHedgeRecheck   = 5 * time.Millisecond
+	// maxHedgeShare bounds the hedge delay, as a share of the latency target.
+	maxHedgeShare = 0.3
+	// A host that started less than startPeriod ago hedges after startHedgeShare of the
+	// latency target: all callers may have come back at once.
+	startPeriod     = 3 * time.Second
+	startHedgeShare = 0.6
 )
 
+// HedgeDelay returns the hedge delay of a search with a latency target on a host that
+// started some time ago. quantile is a high quantile of recent latencies.
+func HedgeDelay(latencyTarget, quantile, uptime time.Duration) time.Duration {
+	if uptime < startPeriod {
+		return time.Duration(startHedgeShare * float64(latencyTarget))
+	}
+	return min(quantile, time.Duration(maxHedgeShare*float64(latencyTarget)))
+}
+
 // hedgeRecheckDelay returns the delay after which a hedge is tried again.
 func (s *Search) hedgeRecheckDelay() time.Duration {
 	return max(minHedgeRecheck, time.Duration(hedgeRecheckShare*float64(s.plan.HedgeDelay)))
--- a/internal/serving/search/replay_test.go
+++ b/internal/serving/search/replay_test.go
@@ -15,8 +15,11 @@
 )
 
 // replayTarget is a target of a replay: it takes the work time for each request, pauses
-// periodically and refuses a share of the requests at once.
+// periodically and refuses a share of the requests at once. If it has slots, requests wait
+// for a free one in the order of their arrival, at most until their time limit.
 type replayTarget struct {
+	// slots holds the times at which the slots become free.
+	slots        []time.Time
 	id           string
 	pauseOffset  time.Duration
 	pauseLength  time.Duration
@@ -25,8 +28,12 @@
 	refusedShare float64
 }
 
-// answer returns when a request that arrives at a time is answered, and its outcome.
-func (t *replayTarget) answer(now time.Time, work time.Duration, random *rand.Rand) (time.Time, search.Outcome) {
+// answer returns when a request with a time limit that arrives at a time is answered, and
+// its outcome.
+func (t *replayTarget) answer(now, limit time.Time, work time.Duration, random *rand.Rand) (time.Time, search.Outcome) {
+	if len(t.slots) > 0 {
+		return t.queue(now, limit, time.Duration(float64(work)*(0.5+random.ExpFloat64()/2)))
+	}
 	if random.Float64() < t.refusedShare {
 		return now.Add(time.Millisecond), search.NotRun
 	}
@@ -38,6 +45,25 @@
 	return now.Add(time.Duration(float64(work) * t.slowness)), search.Good
 }
 
+// queue returns when a request is answered that waits for a slot.
+func (t *replayTarget) queue(now, limit time.Time, work time.Duration) (time.Time, search.Outcome) {
+	free := 0
+	for i, at := range t.slots {
+		if at.Before(t.slots[free]) {
+			free = i
+		}
+	}
+	began := t.slots[free]
+	if began.Before(now) {
+		began = now
+	}
+	if began.After(limit) {
+		return limit, search.NotRun
+	}
+	t.slots[free] = began.Add(work)
+	return t.slots[free], search.Good
+}
+
 // replayEnd is the end of an attempt in a replay.
 type replayEnd struct {
 	at      time.Time
@@ -56,6 +82,14 @@
 	done   bool
 }
 
+// limit returns the time limit of a part that is sent now.
+func (s *replaySearch) limit(now time.Time) time.Time {
+	if now.Before(s.plan.SoftDeadline) {
+		return s.plan.SoftDeadline
+	}
+	return s.plan.Deadline
+}
+
 // replay drives searches with the real policies against simulated targets. Time advances
 // in steps of a millisecond, without sockets or goroutines.
 type replay struct {
@@ -68,6 +102,12 @@
 	// covered is the number of parts answered by the soft deadline, asked the number of
 	// parts, and extra the number of retries and hedges.
 	covered, asked, extra int
+	// inTime and late are the numbers of searches that ended by the soft deadline, and after
+	// it; lastLate is when the last of these ended.
+	inTime, late int
+	lastLate     time.Time
+	// surge is the number of searches that arrive at once at the start.
+	surge int
 }
 
 // Choose implements search.Chooser.
@@ -100,7 +140,7 @@
 			r.extra++
 		}
 		i := slices.IndexFunc(r.shards[a.Part], func(t *replayTarget) bool { return t.id == a.Target })
-		at, outcome := r.shards[a.Part][i].answer(now, r.typical, r.random)
+		at, outcome := r.shards[a.Part][i].answer(now, s.limit(now), r.typical, r.random)
 		r.ends = append(r.ends, replayEnd{at: at, search: s, attempt: a, outcome: outcome, token: r.tracker.Begin(now, a.Target, r.typical)})
 	}
 }
@@ -139,7 +179,14 @@
 	}
 	for now := start; now.Before(start.Add(length)); now = now.Add(time.Millisecond) {
 		r.endAttempts(now)
+		arrivals := 0
 		if now.Sub(start)%interval == 0 {
+			arrivals = 1
+		}
+		if now.Equal(start) {
+			arrivals += r.surge
+		}
+		for range arrivals {
 			s := &replaySearch{replay: r, now: now, plan: plan}
 			s.plan.SoftDeadline, s.plan.Deadline = now.Add(aim), now.Add(10*aim)
 			s.Reset(s.plan)
@@ -157,9 +204,13 @@
 			}
 			s.done = true
 			r.asked += plan.Parts
-			if !now.After(s.plan.SoftDeadline) {
-				r.covered += s.Covered()
+			if now.After(s.plan.SoftDeadline) {
+				r.late++
+				r.lastLate = now
+				return true
 			}
+			r.inTime++
+			r.covered += s.Covered()
 			return true
 		})
 	}
@@ -217,3 +268,25 @@
 		assert.Greater(t, float64(r.covered)/float64(r.asked), 0.99, test)
 	}
 }
+
+// TestReplayCallersReturnAtOnce replays the return of all callers after a power cut: 60
+// searches at once, each for 30 shards with two replicas of two slots, beside 125 a second.
+// The surge needs 165 ms of all slots. Hedges may add at most 2 in 100 parts to it, and all
+// searches must be in time again within that time and half of their latency target.
+func TestReplayCallersReturnAtOnce(t *testing.T) {
+	const aim = 150 * time.Millisecond
+	for seed := range uint64(5) {
+		r := newReplay(seed, 30, 2, 0, time.Second)
+		r.surge = 60
+		for _, targets := range r.shards {
+			for _, target := range targets {
+				target.slots = make([]time.Time, 2)
+			}
+		}
+		plan := replayPlan(30)
+		plan.HedgeDelay = search.HedgeDelay(aim, 0, 0)
+		r.run(8*time.Millisecond, 3*time.Second, plan, aim-14*time.Millisecond)
+		assert.LessOrEqual(t, float64(r.extra)/float64(r.asked), 0.02, "seed %d", seed)
+		assert.LessOrEqual(t, r.lastLate.Sub(start), 165*time.Millisecond+aim/2, "seed %d", seed)
+	}
+}
