Keep settings content that returned; charge the retry budget for sent requests only

Cause: when the oldest history record was overwritten, contents that only it and the record after it were compared for were deleted, although later records referred to them again: a rollback to these revisions was lost. A query charged its budget for a 17th request for a shard, which it then did not send, and waited for the deadline.

Result: TestHistoryKeepsContentThatReturned (8 of 32 revisions lost) and TestLastAttemptLeavesBudget fail before and pass after.

--- a/query/query.go
+++ b/query/query.go
@@ -15,12 +15,6 @@
 // urgentHedgeFactor, times the hedge delay, is the time after which a hedge is urgent.
 const urgentHedgeFactor = 3
 
-// Limits of the back-off before a target is sent another request for the same shard.
-const (
-	backoffBase = 4 * time.Millisecond
-	backoffMax  = 64 * time.Millisecond
-)
-
 // Outcome is the outcome of a part.
 type Outcome int
 
@@ -204,7 +198,7 @@
 // used all its attempts, and reports whether it did.
 func (q *Query) addRequest(now time.Time, i int, target string, additional bool) bool {
 	p := &q.parts[i]
-	if target == "" || len(p.attempts) >= maxAttempts {
+	if target == "" || !q.attemptLeft(i) {
 		return false
 	}
 	id := i*maxAttempts + len(p.attempts)
@@ -330,58 +324,6 @@
 	return dst
 }
 
-// retryOrGiveUp sends the part to another holder, or schedules a retry after a back-off
-// when all holders were tried, or gives up. It does nothing while another attempt is
-// pending.
-func (q *Query) retryOrGiveUp(now time.Time, i int, r PartReply) {
-	p := &q.parts[i]
-	if r.Reason == ReasonSnapshotGone {
-		q.snapshotGoneCount++
-	}
-	if q.hasPendingAttempt(i) {
-		return
-	}
-	if q.options.SingleAttempt {
-		q.giveUp(i, r.Reason)
-		return
-	}
-	next := q.picker.Pick(q.shards[i].Holders(), q.triedTargets(i))
-	if next != "" {
-		if !r.NotDelivered && !q.withdraw(i, true) {
-			q.giveUp(i, r.Reason)
-			return
-		}
-		q.counts.Retries++
-		q.addRequest(now, i, next, true)
-		return
-	}
-	backoff := q.backoff(len(p.attempts))
-	if !transient(r.Reason) || len(p.attempts) >= maxAttempts || !now.Add(backoff).Before(q.options.Deadline) {
-		q.giveUp(i, r.Reason)
-		return
-	}
-	p.reason = r.Reason
-	p.retryAt = now.Add(backoff)
-	q.wakeBy(p.retryAt)
-}
-
-// withdraw takes an additional request for shard i from the budget and counts the
-// result.
-func (q *Query) withdraw(i int, urgent bool) bool {
-	if q.budget.TryWithdraw(q.shards[i].Service(), urgent) {
-		q.counts.Additional++
-		return true
-	}
-	q.counts.BudgetExhausted++
-	return false
-}
-
-// backoff returns a random delay that increases with the number of attempts.
-func (q *Query) backoff(attempts int) time.Duration {
-	limit := min(backoffMax, backoffBase<<min(attempts, 8))
-	return limit/2 + time.Duration(q.random.Int64N(int64(limit)))
-}
-
 // NextTick returns when Tick is due, at the latest at the deadline.
 func (q *Query) NextTick() time.Time { return q.nextTick }
 
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -122,6 +122,30 @@
 	assert.Equal(t, requests[0].ID, toCancel[0].ID, "the slower request must be cancelled")
 }
 
+// TestLastAttemptLeavesBudget has more holders of a shard than requests that a query sends
+// for one, and all of them shed. The budget must be charged for the requests that were sent
+// only, and the shard given up with the last one.
+func TestLastAttemptLeavesBudget(t *testing.T) {
+	const sent = 16
+	var c snapshot.Catalog
+	s := snapshot.Service{Path: "g/s000"}
+	for n := range sent + 4 {
+		target := fmt.Sprintf("g/s000/%02d", n)
+		s.Targets = append(s.Targets, target)
+		c.Update(target, 1, []snapshot.Holding{snapshot.NewHolding(7, 1, []int{0})})
+	}
+	q := newQuery(c.BestShardMap([]snapshot.Service{s}, 0, func(string) bool { return true }), 100, 0)
+	requests := q.Begin(began)
+	n := 0
+	for ; len(requests) > 0; n++ {
+		r := requests[0]
+		requests = q.HandleReply(began, query.PartReply{ID: r.ID, Target: r.Target, Outcome: query.NotRun, Reason: query.ReasonShed})
+	}
+	assert.Equal(t, sent, n)
+	assert.Equal(t, sent-1, q.Counts().Additional)
+	assert.True(t, q.Finished())
+}
+
 func TestRetryOfUndeliveredRequestIsFree(t *testing.T) {
 	q := newQuery(shardMap(1, 1), 0, 0)
 	r := q.Begin(began)[0]
--- a/query/tick.go
+++ b/query/tick.go
@@ -47,7 +47,7 @@
 	p := &q.parts[i]
 	p.retryAt = time.Time{}
 	target := q.picker.Pick(q.shards[i].Holders(), func(string) bool { return false })
-	if target == "" || !q.withdraw(i, true) || !q.addRequest(now, i, target, true) {
+	if target == "" || !q.attemptLeft(i) || !q.withdraw(i, true) || !q.addRequest(now, i, target, true) {
 		q.giveUp(i, p.reason)
 		return
 	}
@@ -61,7 +61,7 @@
 	p := &q.parts[i]
 	target := q.picker.PickHedge(q.shards[i].Holders(), q.triedTargets(i))
 	urgent := !now.Before(p.sentAt.Add(urgentHedgeFactor * q.options.HedgeDelay))
-	if target == "" || !q.withdraw(i, urgent) || !q.addRequest(now, i, target, true) {
+	if target == "" || !q.attemptLeft(i) || !q.withdraw(i, urgent) || !q.addRequest(now, i, target, true) {
 		return false
 	}
 	p.hedged = true
--- a/settings/apply.go
+++ b/settings/apply.go
@@ -79,14 +79,13 @@
 
 // recordManifest writes the manifest in force to the history, before the next one
 // comes into force. It overwrites the oldest record and deletes the parts of that
-// record to which neither the manifest in force nor the record after it refers. If
-// the record after it cannot be read, no parts are deleted.
+// record to which neither the manifest in force nor another record refers. If the
+// history cannot be read, no parts are deleted.
 func recordManifest(ctx context.Context, s store.Service, current platform.Manifest, text string) error {
 	if text == "" {
 		return nil
 	}
 	replaced := readRecord(ctx, s, current.Revision-HistorySize)
-	next := readRecord(ctx, s, current.Revision-HistorySize+1)
 	err := retry(ctx, func() error {
 		_, err := s.Put(ctx, recordKey(current.Revision), text, store.AnyRevision, "")
 		return err
@@ -94,12 +93,21 @@
 	if err != nil {
 		return errors.Wrap(err, "settings: write history record")
 	}
+	if len(replaced.Parts) == 0 {
+		return nil
+	}
+	kept, err := History(ctx, s)
+	if err != nil {
+		return nil //nolint:nilerr // The parts are deleted with a later record, or stay.
+	}
 	used := map[string]bool{}
-	for _, p := range append(current.Parts, next.Parts...) {
-		used[p.Hash] = true
+	for _, m := range kept {
+		for _, p := range m.Parts {
+			used[p.Hash] = true
+		}
 	}
 	for _, p := range replaced.Parts {
-		if !used[p.Hash] && next.Revision != 0 {
+		if !used[p.Hash] {
 			_ = s.Delete(ctx, partPrefix+p.Hash)
 		}
 	}
--- a/settings/apply_test.go
+++ b/settings/apply_test.go
@@ -132,6 +132,28 @@
 	require.ErrorIs(t, err, settings.ErrDeltaMismatch)
 }
 
+// TestHistoryKeepsContentThatReturned has the content of a part go, return for some
+// revisions and go again. When the record of the revision that had it first is overwritten,
+// the content must remain for the later records that refer to it.
+func TestHistoryKeepsContentThatReturned(t *testing.T) {
+	_, client := startStore(t)
+	ctx := context.Background()
+	for revision := 1; revision <= settings.HistorySize+2; revision++ {
+		queue := 2
+		if revision == 1 || revision >= 3 && revision <= 10 {
+			queue = 1
+		}
+		_, err := settings.Apply(ctx, client, withQueue(t, queue), settings.Change{ID: fmt.Sprint("c", revision), Base: revision - 1})
+		require.NoError(t, err)
+	}
+	history, err := settings.History(ctx, client)
+	require.NoError(t, err)
+	for _, m := range history {
+		_, err := settings.FetchTree(ctx, client, m, map[string]string{})
+		assert.NoError(t, err, "revision %d", m.Revision)
+	}
+}
+
 func TestApplyKeepsStoreSizeBounded(t *testing.T) {
 	s, client := startStore(t)
 	ctx := context.Background()
