Read requests of stand-ins to their end, so that a stopped target ends its work

Cause: the stand-in decoded a request up to the end of its JSON value. The clients send chunks, and the last, empty one is a write of its own, so the HTTP server had not seen the end of the body, did not watch the connection, and did not end the request when it was closed. An exchange in progress then waited for a timer that no longer fires. TestStopEndsExchangeInProgress brings the moment about and failed each time before.

--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -289,7 +289,10 @@
 // readJSON decodes the request body, of at most 4 MiB, into v. If that fails, it
 // replies with status 400 and returns false.
 func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
-	err := json.NewDecoder(io.LimitReader(r.Body, 4<<20)).Decode(v)
+	body, err := io.ReadAll(io.LimitReader(r.Body, 4<<20))
+	if err == nil {
+		err = json.Unmarshal(body, v)
+	}
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 	}
