Limit requests in flight to each target; of those that wait, send the newest first

Cause: a target that is too slow for its load serves requests in the order of their arrival, so each of them starts when its time is nearly over and is cut. Requests also waited for a connection in the order of their arrival, without an end. Change: a queue for each target on each host. Its limit follows the fraction of their time that requests take at the target (additive increase, multiplicative decrease); a request that waits is not sent once its time has passed, and the one that arrived last goes first. As many requests are in flight as connections are allowed, so none waits for a connection any more.

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -85,6 +85,9 @@
 	return l.TryAcquireFraction(fraction)
 }
 
+// Cancel ends an admitted query without adjusting the limit.
+func (l *Limiter) Cancel() { l.inFlight-- }
+
 // Release ends an admitted query and adjusts the limit to its result.
 func (l *Limiter) Release(now time.Time, r Result) {
 	utilised := float64(l.inFlight) >= l.limit/2
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -91,7 +91,7 @@
 
 // Values of Reply.Reason.
 const (
-	reasonNoConnection     = "no-connection"
+	reasonTargetBusy       = "target-busy"
 	reasonConnectRefused   = "connect-refused"
 	reasonConnectReset     = "connect-reset"
 	reasonConnectTimeout   = "connect-timeout"
--- a/internal/serving/exchange/pool.go
+++ b/internal/serving/exchange/pool.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"fescuerill/internal/serving/dispatch"
 	"fescuerill/internal/serving/search"
 )
 
@@ -68,12 +69,12 @@
 	targets map[string]*targetConns
 }
 
-// targetConns holds the connections to one target.
+// targetConns holds the connections to one target and the requests that wait for one.
 type targetConns struct {
 	idle    []*conn
 	open    int
 	maxOpen int
-	waiters []chan struct{}
+	queue   dispatch.Queue[chan struct{}]
 }
 
 // Reset initialises an empty pool.
@@ -86,25 +87,35 @@
 func (p *Pool) targetConns(id string) *targetConns {
 	tc := p.targets[id]
 	if tc == nil {
-		tc = &targetConns{maxOpen: 1}
+		tc = &targetConns{}
+		tc.queue.Reset(1)
+		tc.setMaxOpen(1)
 		p.targets[id] = tc
 	}
 	return tc
 }
 
+// setMaxOpen sets the maximum number of connections; it is at least 1. As many requests
+// can be in flight, so that none of them waits for a connection of another.
+func (tc *targetConns) setMaxOpen(n int) {
+	tc.maxOpen = max(1, n)
+	tc.queue.SetCapacity(tc.maxOpen)
+}
+
 // SetMaxConns sets the maximum number of connections to a target; it is at least 1.
 func (p *Pool) SetMaxConns(id string, maxOpen int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.targetConns(id).maxOpen = max(1, maxOpen)
+	tc := p.targetConns(id)
+	tc.setMaxOpen(maxOpen)
+	tc.wakeNext(time.Now())
 }
 
-// Exhausted reports whether a request to the target would have to wait for a connection.
+// Exhausted reports whether a request to the target would have to wait.
 func (p *Pool) Exhausted(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	tc := p.targetConns(id)
-	return len(tc.idle) == 0 && tc.open >= tc.maxOpen
+	return p.targetConns(id).queue.Full()
 }
 
 // CloseIdle closes the idle connections to a target that was removed or has restarted.
@@ -120,7 +131,7 @@
 		tc.open--
 	}
 	tc.idle = nil
-	if tc.open == 0 && len(tc.waiters) == 0 {
+	if tc.open == 0 && tc.queue.InFlight() == 0 && tc.queue.Waiting() == 0 {
 		delete(p.targets, id)
 	}
 }
@@ -144,10 +155,63 @@
 	}
 }
 
-// reserve returns an idle connection, or two nils if the caller is to open one, or a
-// channel that is closed when the caller should try again. It closes connections that
-// have been idle for maxIdle or longer.
-func (p *Pool) reserve(id string, maxIdle time.Duration) (*conn, chan struct{}) {
+// wakeNext wakes the requests that can be sent now.
+func (tc *targetConns) wakeNext(now time.Time) {
+	for {
+		wake, ok := tc.queue.Next(now)
+		if !ok {
+			return
+		}
+		close(wake)
+	}
+}
+
+// enter waits until a request can be sent to the target. It returns false if its time has
+// passed or ctx has ended before.
+func (p *Pool) enter(ctx context.Context, id string, timeLeft time.Duration) bool {
+	wake := make(chan struct{})
+	p.mu.Lock()
+	entered := p.targetConns(id).queue.Enter(wake, time.Now().Add(timeLeft))
+	p.mu.Unlock()
+	if entered {
+		return true
+	}
+	timer := time.NewTimer(timeLeft)
+	defer timer.Stop()
+	select {
+	case <-wake:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// A request that was woken in the meantime has to be ended by its sender.
+	return !p.targetConns(id).queue.Remove(wake) && isClosed(wake)
+}
+
+func isClosed(wake chan struct{}) bool {
+	select {
+	case <-wake:
+		return true
+	default:
+		return false
+	}
+}
+
+// leave ends a request that took the fraction of its time, and wakes those that can be
+// sent in its place.
+func (p *Pool) leave(id string, r *Reply, fraction float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	tc, now := p.targetConns(id), time.Now()
+	tc.queue.Leave(now, r.Outcome == search.Good, fraction)
+	tc.wakeNext(now)
+}
+
+// idleConn returns an idle connection, or nil if the caller is to open one. It closes
+// connections that have been idle for maxIdle or longer.
+func (p *Pool) idleConn(id string, maxIdle time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	tc := p.targetConns(id)
@@ -156,22 +220,17 @@
 		c := tc.idle[n-1]
 		tc.idle = tc.idle[:n-1]
 		if now.Sub(c.lastUsed) < maxIdle && c.usable(now) {
-			return c, nil
+			return c
 		}
 		_ = c.raw.Close()
 		tc.open--
 	}
-	if tc.open < tc.maxOpen {
-		tc.open++
-		return nil, nil
-	}
-	wake := make(chan struct{})
-	tc.waiters = append(tc.waiters, wake)
-	return nil, wake
+	tc.open++
+	return nil
 }
 
 // release returns a connection to the pool, or closes it if it is not to be reused. A
-// nil connection stands for one that could not be opened. The next waiter is woken.
+// nil connection stands for one that could not be opened.
 func (p *Pool) release(id string, c *conn, reuse bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -179,16 +238,12 @@
 	if c != nil && reuse && tc.open <= tc.maxOpen {
 		c.lastUsed = time.Now()
 		tc.idle = append(tc.idle, c)
-	} else {
-		if c != nil {
-			_ = c.raw.Close()
-		}
-		tc.open--
+		return
 	}
-	if len(tc.waiters) > 0 {
-		close(tc.waiters[0])
-		tc.waiters = tc.waiters[1:]
+	if c != nil {
+		_ = c.raw.Close()
 	}
+	tc.open--
 }
 
 // acquire returns a connection to the target, or the reply to return and false.
@@ -197,46 +252,16 @@
 	if nonIdempotent {
 		maxIdle = maxNonIdempotentIdleTime
 	}
-	for {
-		c, wake := p.reserve(t.ID, maxIdle)
-		switch {
-		case c != nil:
-			return c, Reply{}, true
-		case wake != nil:
-			select {
-			case <-wake:
-				continue
-			case <-ctx.Done():
-				p.cancelWait(t.ID, wake)
-				return nil, Reply{Outcome: search.NotSent, Reason: reasonNoConnection, LocalFailure: true, Err: ctx.Err()}, false
-			}
-		}
-		raw, err := p.dial(ctx, t.Address)
-		if err != nil {
-			p.release(t.ID, nil, false)
-			return nil, dialFailure(ctx, err), false
-		}
-		p.onOpen()
-		return newConn(raw), Reply{}, true
+	if c := p.idleConn(t.ID, maxIdle); c != nil {
+		return c, Reply{}, true
 	}
-}
-
-// cancelWait removes a waiter from the queue. If it has just been woken, the next waiter
-// is woken in its place.
-func (p *Pool) cancelWait(id string, wake chan struct{}) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	tc := p.targetConns(id)
-	for i, w := range tc.waiters {
-		if w == wake {
-			tc.waiters = append(tc.waiters[:i], tc.waiters[i+1:]...)
-			return
-		}
-	}
-	if len(tc.waiters) > 0 {
-		close(tc.waiters[0])
-		tc.waiters = tc.waiters[1:]
+	raw, err := p.dial(ctx, t.Address)
+	if err != nil {
+		p.release(t.ID, nil, false)
+		return nil, dialFailure(ctx, err), false
 	}
+	p.onOpen()
+	return newConn(raw), Reply{}, true
 }
 
 // dialFailure returns the reply for a connection that could not be opened.
@@ -254,20 +279,34 @@
 }
 
 // Do sends a request to a target and returns the result. It calls left for the time
-// that remains as soon as a connection is available. When ctx ends, the connection is
+// that remains on entry and again as soon as a connection is available. A request that has
+// to wait is not sent if its time passes meanwhile. When ctx ends, the connection is
 // closed, so that the target can stop processing.
 func (p *Pool) Do(ctx context.Context, t Target, req *Request, left func() time.Duration) Reply {
+	if !p.enter(ctx, t.ID, left()) {
+		return Reply{Outcome: search.NotSent, Reason: reasonTargetBusy, LocalFailure: true, Err: ctx.Err()}
+	}
+	r, fraction := p.send(ctx, t, req, left)
+	p.leave(t.ID, &r, fraction)
+	return r
+}
+
+// send sends a request over an idle or a new connection. It returns the result and the
+// fraction of the remaining time that the target took.
+func (p *Pool) send(ctx context.Context, t Target, req *Request, left func() time.Duration) (Reply, float64) {
 	c, failed, ok := p.acquire(ctx, t, req.NonIdempotent)
 	if !ok {
-		return failed
+		return failed, 0
 	}
 	remaining := left()
 	if remaining <= 0 || ctx.Err() != nil {
 		p.release(t.ID, c, true)
-		return Reply{Outcome: search.NotSent, Reason: reasonCancelled, LocalFailure: true}
+		return Reply{Outcome: search.NotSent, Reason: reasonCancelled, LocalFailure: true}, 0
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
+	began := time.Now()
 	r := p.roundTrip(c, t, req, remaining)
+	fraction := float64(time.Since(began)) / float64(remaining)
 	if !stop() {
 		c.noReuse = true
 		if r.Outcome == search.Unknown {
@@ -275,7 +314,7 @@
 		}
 	}
 	p.release(t.ID, c, !c.noReuse && r.Err == nil)
-	return r
+	return r, fraction
 }
 
 // roundTrip writes the request and reads the answer.
--- a/internal/serving/exchange/pool_test.go
+++ b/internal/serving/exchange/pool_test.go
@@ -186,15 +186,48 @@
 	time.Sleep(30 * time.Millisecond)
 	assert.True(t, p.Exhausted("t"))
 	start := time.Now()
-	var waited time.Duration
+	var calledAfter []time.Duration
 	p.Do(t.Context(), s.target(), newRequest("2"), func() time.Duration {
-		waited = time.Since(start)
-		return 0
+		calledAfter = append(calledAfter, time.Since(start))
+		return time.Second - time.Duration(len(calledAfter)-1)*time.Second
 	})
-	assert.Greater(t, waited, 50*time.Millisecond)
+	if assert.Len(t, calledAfter, 2, "on entry and when the connection is available") {
+		assert.Greater(t, calledAfter[1], 50*time.Millisecond)
+	}
 	assert.Equal(t, int64(1), s.requests.Load(), "no request is sent once its time has run out")
 }
 
+// TestPoolSendsNewestWaitingRequest lets three requests wait for the only connection. The
+// first of them must not be sent, because its time passes while it waits, and the last one
+// goes before the second.
+func TestPoolSendsNewestWaitingRequest(t *testing.T) {
+	s := startTarget(t, "...", goodAnswer)
+	p := newPool()
+	p.SetMaxConns("t", 1)
+	left := func(d time.Duration) func() time.Duration {
+		deadline := time.Now().Add(d)
+		return func() time.Duration { return time.Until(deadline) }
+	}
+	go p.Do(t.Context(), s.target(), newRequest("1"), left(100*time.Millisecond))
+	require.Eventually(t, func() bool { return s.requests.Load() == 1 }, time.Second, time.Millisecond)
+	expired := make(chan exchange.Reply, 1)
+	go func() { expired <- p.Do(t.Context(), s.target(), newRequest("2"), left(20*time.Millisecond)) }()
+	ended := make(chan string, 2)
+	for _, id := range []string{"3", "4"} {
+		go func() {
+			p.Do(t.Context(), s.target(), newRequest(id), left(5*time.Second))
+			ended <- id
+		}()
+		time.Sleep(30 * time.Millisecond)
+	}
+	got := <-expired
+	assert.Equal(t, search.NotSent, got.Outcome)
+	assert.Equal(t, "target-busy", got.Reason)
+	assert.True(t, got.LocalFailure)
+	assert.Equal(t, "4", <-ended)
+	assert.Equal(t, "3", <-ended)
+}
+
 func TestPoolClosesConnectionWhenContextEnds(t *testing.T) {
 	s := startTarget(t, "...")
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/standin/listen_test.go
+++ b/internal/standin/listen_test.go
@@ -41,4 +41,3 @@
 		require.NoError(t, c.Close())
 	})
 }
-
