Ask the store to answer a watch within 0.4 s instead of 1 s

Cause: after a watch that returned at once, the next one starts 1 s after the first and waited another second in vain, so that the reader's updates were up to 2 s old. Change: a watch waits 0.4 s, so the time between two answers stays below 1.5 s. Test: TestHostsWithReaderMakeNoCallsWhileStoreIsQuiet; with the wait of 1 s the other host makes 55 calls in 162 s, now the first list only.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -18,8 +18,9 @@
 const (
 	// listTimeout is the time limit of a call that lists all items.
 	listTimeout = 3 * time.Second
-	// watchWait is how long the store waits for a change before it answers.
-	watchWait = time.Second
+	// watchWait is how long the store waits for a change before it answers. With
+	// watchInterval, the time between two answers stays below maxUpdateAge.
+	watchWait = 400 * time.Millisecond
 	// callTimeout is the time limit of a call, without watchWait.
 	callTimeout = 700 * time.Millisecond
 	// maxTombstones is the number of deletions that are kept for updates to other hosts.
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -224,6 +224,41 @@
 	})
 }
 
+// waitingStore is a store whose watches wait for a change.
+type waitingStore struct {
+	store
+}
+
+func (s *waitingStore) Watch(ctx context.Context, after int64, wait time.Duration) ([]feed.Item, int64, error) {
+	for deadline := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
+		changed, revision, err := s.store.Watch(ctx, after, wait)
+		if len(changed) > 0 || err != nil || ctx.Err() != nil || !time.Now().Before(deadline) {
+			return changed, revision, err
+		}
+	}
+}
+
+// TestHostsWithReaderMakeNoCallsWhileStoreIsQuiet has few changes, so that a watch returns
+// at once after one of them and the next one waits in vain. The other host requests updates
+// shortly before the reader has an answer. They must never be so old that it, and all others
+// with it, reads the store itself.
+func TestHostsWithReaderMakeNoCallsWhileStoreIsQuiet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &waitingStore{store{items: map[string]feed.Item{}}}
+		reader := follow(ctx, s, &peer{})
+		time.Sleep(480 * time.Millisecond)
+		ownStore := &store{items: map[string]feed.Item{}}
+		follow(ctx, ownStore, &peer{feed: &reader.Feed, reader: true})
+		for n := range 60 {
+			s.write("a", time.Duration(n).String())
+			time.Sleep(2700 * time.Millisecond)
+		}
+		assert.LessOrEqual(t, ownStore.calls, 1, "only the first list")
+	})
+}
+
 func TestUpdatesOmitHeartbeats(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
