--- a/internal/fleet/feed/cursor.go
+++ b/internal/fleet/feed/cursor.go
@@ -8,9 +8,17 @@
 	// would follow each change, as a waiting call returns at the first one, and the store
 	// counts the calls.
 	watchInterval = time.Second
+	// returnInterval replaces watchInterval for returnPeriod after an outage of the store,
+	// in which the targets whose entries have lapsed register again.
+	returnInterval = 250 * time.Millisecond
+	returnPeriod   = 3 * time.Second
 	// minRetryDelay and maxRetryDelay bound the back-off after a failed call.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = time.Second
+	// startRetryDelay is the delay after a call that did not reach the store, on a host
+	// that has no list of the items yet: it cannot serve without one, and such calls are no
+	// load for the store.
+	startRetryDelay = 150 * time.Millisecond
 	// outageThreshold is the number of consecutive failed calls from which the
 	// store is considered down.
 	outageThreshold = 2
@@ -51,6 +59,9 @@
 	// peerOutage is the time of the last store outage that other hosts reported.
 	peerOutage     time.Time
 	peerBackoffEnd time.Time
+	// returnEnd is the end of the period after an outage of the store in which changes are
+	// requested at returnInterval.
+	returnEnd time.Time
 }
 
 // Revision returns the revision up to which changes of the store are known.
@@ -106,9 +117,20 @@
 func (c *Cursor) StoreReplied(began, now time.Time, revision int64) {
 	c.revision = max(c.revision, revision)
 	c.listed = true
+	if c.failures > 0 {
+		c.returnEnd = now.Add(returnPeriod)
+	}
 	c.failures = 0
 	c.lastReply = now
-	c.nextCall = began.Add(watchInterval)
+	c.nextCall = began.Add(c.interval(now))
+}
+
+// interval returns the minimum time between two calls for changes.
+func (c *Cursor) interval(now time.Time) time.Duration {
+	if now.Before(c.returnEnd) {
+		return returnInterval
+	}
+	return watchInterval
 }
 
 // PeerReplied records an update from another host, which knows the store up to a
@@ -122,6 +144,7 @@
 	}
 	if lastOutage.After(c.lastOutage) {
 		c.lastOutage = lastOutage
+		c.returnEnd = lastOutage.Add(returnPeriod)
 	}
 	if at := now.Add(-age); at.After(c.lastReply) {
 		c.lastReply = at
@@ -134,7 +157,7 @@
 		c.nextCall = now
 		return
 	}
-	c.nextCall = began.Add(watchInterval / 2)
+	c.nextCall = began.Add(c.interval(now) / 2)
 }
 
 // PeerFailed records that no update was received from another host.
@@ -145,13 +168,17 @@
 	}
 }
 
-// StoreFailed records that a call to the store failed.
-func (c *Cursor) StoreFailed(now time.Time) {
+// StoreFailed records that a call to the store failed. unreached is set if the call did not
+// reach the store.
+func (c *Cursor) StoreFailed(now time.Time, unreached bool) {
 	c.failures++
 	if c.failures >= outageThreshold {
 		c.lastOutage = now
 	}
 	c.nextCall = now.Add(min(maxRetryDelay, minRetryDelay<<min(c.failures-1, 4)))
+	if unreached && !c.listed {
+		c.nextCall = now.Add(startRetryDelay)
+	}
 }
 
 // Compacted records that the store has compacted its history, so that the changes after
--- a/internal/fleet/feed/cursor_test.go
+++ b/internal/fleet/feed/cursor_test.go
@@ -63,7 +63,7 @@
 		switch action {
 		case feed.Watch:
 			calls++
-			c.StoreFailed(at(ms))
+			c.StoreFailed(at(ms), false)
 		case feed.Fetch:
 			fetched++
 			c.PeerReplied(at(ms), at(ms), 100, 10*time.Second, time.Time{})
@@ -79,7 +79,7 @@
 
 func TestSingleFailureIsNoOutage(t *testing.T) {
 	c := listed()
-	c.StoreFailed(at(1000))
+	c.StoreFailed(at(1000), false)
 	assert.True(t, c.LastOutage().IsZero())
 	assert.False(t, c.Reachable())
 	c.StoreReplied(at(1100), at(1101), 101)
@@ -88,3 +88,37 @@
 	assert.Equal(t, at(2000), c.LastOutage())
 	assert.Equal(t, feed.List, next(c, 2000, false, false))
 }
+
+func TestCursorRetriesFasterWithoutListIfStoreIsUnreachable(t *testing.T) {
+	var c feed.Cursor
+	for ms := 0; ms < 3000; ms += 150 {
+		assert.Equal(t, feed.List, next(&c, ms, false, false))
+		c.StoreFailed(at(ms), true)
+	}
+	c.StoreFailed(at(3000), false)
+	assert.Equal(t, feed.None, next(&c, 3900, false, false), "the store answers, so that each call is a load")
+	withList := listed()
+	for range 5 {
+		withList.StoreFailed(at(1000), true)
+	}
+	assert.Equal(t, feed.None, next(withList, 1900, false, false))
+}
+
+// TestCursorFollowsFasterAfterOutage checks the period in which targets register again.
+func TestCursorFollowsFasterAfterOutage(t *testing.T) {
+	reader := listed()
+	reader.StoreFailed(at(1000), false)
+	reader.StoreFailed(at(2000), false)
+	reader.StoreReplied(at(3000), at(3010), 110)
+	assert.Equal(t, feed.None, next(reader, 3240, false, true))
+	assert.Equal(t, feed.Watch, next(reader, 3250, false, true))
+	reader.StoreReplied(at(6020), at(6030), 120)
+	assert.Equal(t, feed.None, next(reader, 6900, false, true))
+
+	other := listed()
+	other.PeerReplied(at(3020), at(3021), 110, 10*time.Millisecond, at(2000))
+	assert.Equal(t, feed.None, next(other, 3140, true, true))
+	assert.Equal(t, feed.Fetch, next(other, 3145, true, true))
+	other.PeerReplied(at(5100), at(5101), 120, 10*time.Millisecond, at(2000))
+	assert.Equal(t, feed.None, next(other, 5500, true, true))
+}
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -15,6 +15,9 @@
 // ErrCompacted is returned for changes that the store has removed from its history.
 var ErrCompacted = errors.New("requested revision has been compacted")
 
+// ErrUnreachable is returned by a Source for a call that did not reach the store.
+var ErrUnreachable = errors.New("store is unreachable")
+
 const (
 	// listTimeout is the time limit of a call that lists all items.
 	listTimeout = 3 * time.Second
@@ -41,7 +44,8 @@
 	fingerprintRevision int64
 }
 
-// Source is the platform's store.
+// Source is the platform's store. The errors of its calls are ErrUnreachable if a call did
+// not reach the store.
 type Source interface {
 	// List returns all items and the revision up to which they contain all changes.
 	List(ctx context.Context) ([]Item, int64, error)
@@ -210,7 +214,7 @@
 	now := time.Now()
 	f.stats.Add("store-failures", 1)
 	f.mu.Lock()
-	f.cursor.StoreFailed(now)
+	f.cursor.StoreFailed(now, errors.Is(err, ErrUnreachable))
 	age, failures := now.Sub(f.cursor.LastReply()), f.cursor.failures
 	becameLost := !f.storeLost && failures >= outageThreshold
 	f.storeLost = f.storeLost || becameLost
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -259,6 +259,32 @@
 	})
 }
 
+// TestTargetsThatReturnAfterOutageAreKnownSoon replays the return of a store that has lost
+// the entries of all targets in an outage. The targets register again within two seconds,
+// as the platform promises, while all hosts are new and callers wait. Each target must be
+// known within 400 ms to a host that gets its updates from a reader.
+func TestTargetsThatReturnAfterOutageAreKnownSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &waitingStore{store{items: map[string]feed.Item{}}}
+		s.setFaults(true, false)
+		reader := follow(ctx, s, &peer{})
+		f := follow(ctx, s, &peer{feed: &reader.Feed, reader: true})
+		time.Sleep(5 * time.Second)
+		s.setFaults(false, false)
+		time.Sleep(time.Second)
+		for n := range 20 {
+			key := time.Duration(n).String()
+			s.write(key, "ready")
+			time.Sleep(100 * time.Millisecond)
+			if n >= 4 {
+				assert.Equal(t, "ready", f.sink.get(time.Duration(n-3).String()), n)
+			}
+		}
+	})
+}
+
 func TestUpdatesOmitHeartbeats(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
