Refuse messages above 16 MiB at the sender

Cause: a host rejects a message above 16 MiB and closes the connection, with all requests in flight on it; nothing kept the sender from sending one. A caller's body, if the manifest allows it, is part of a relayed request. Change: a request with a body above 8 MiB is not relayed, its parts are sent directly; a stream writes nothing of a message that the other end would reject. TestTooLargeRequestIsNotRelayed fails before: the requests before and after are not answered.

--- a/internal/network/frame/stream.go
+++ b/internal/network/frame/stream.go
@@ -36,7 +36,8 @@
 
 // Errors of a stream.
 var (
-	// ErrTooLarge is returned for a message that is larger than MaxMessageSize.
+	// ErrTooLarge is returned for a message, to write or read, that is larger than
+	// MaxMessageSize.
 	ErrTooLarge = errors.New("frame: message is too large")
 	// ErrUnexpectedKind is for a message of a kind that this side does not accept.
 	ErrUnexpectedKind = errors.New("frame: unexpected kind of message")
@@ -102,7 +103,11 @@
 	return s.write(k, body)
 }
 
+// write writes a message. It writes nothing of a message that the other end would reject.
 func (s *Stream) write(k Kind, body []byte) error {
+	if len(body) > MaxMessageSize {
+		return ErrTooLarge
+	}
 	var header [binary.MaxVarintLen64 + 1]byte
 	n := binary.PutUvarint(header[:], uint64(len(body)))
 	header[n] = byte(k)
--- a/internal/serving/relay/connections.go
+++ b/internal/serving/relay/connections.go
@@ -23,6 +23,9 @@
 	backOffTime = time.Second
 	// maxQueuedMessages is the capacity of the write queue of a connection.
 	maxQueuedMessages = 1024
+	// maxBodyBytes is the length of the longest body of a request that is relayed. A message
+	// above frame.MaxMessageSize would end the connection, with all requests on it.
+	maxBodyBytes = frame.MaxMessageSize / 2
 )
 
 var errDisconnected = errors.New("connection to relay host closed")
@@ -93,6 +96,9 @@
 // Send sends a request to the host. It returns a function that cancels the request and
 // reports whether results were still missing, or false if the request cannot be sent.
 func (cs *Connections) Send(address string, req Request, h ResultHandler) (func() bool, bool) {
+	if len(req.CallerRequest.Body) > maxBodyBytes {
+		return nil, false
+	}
 	cs.mu.Lock()
 	hc := cs.byAddress[address]
 	cs.mu.Unlock()
--- a/internal/serving/relay/relay_test.go
+++ b/internal/serving/relay/relay_test.go
@@ -294,3 +294,34 @@
 }
 
 func (c *completion) HandleFailure(error) { close(c.done) }
+
+// TestTooLargeRequestIsNotRelayed sends a request that no message can hold, between two
+// others. It must be refused on this host, which sends its parts directly; on the
+// connection it would end the others too.
+func TestTooLargeRequestIsNotRelayed(t *testing.T) {
+	h := startHost(t, func(_ context.Context, target string, _ *exchange.Request, _ func() time.Duration) exchange.Reply {
+		time.Sleep(50 * time.Millisecond)
+		return goodReply(target, "a")
+	})
+	conns := connect(t, h)
+	send := func(body []byte) (*recorder, bool) {
+		r := &recorder{parts: map[int]relay.PartResult{}}
+		_, ok := conns.Send(h.address, relay.Request{
+			CallerRequest: &exchange.Request{ID: "1", Method: http.MethodPost, URI: "/", Body: body}, Targets: []string{"t"}, MaxRecords: 1,
+			FlushTime: time.Now(), Deadline: time.Now().Add(5 * time.Second),
+		}, r)
+		return r, ok
+	}
+	before, ok := send(nil)
+	assert.True(t, ok)
+	_, ok = send(make([]byte, 17<<20))
+	assert.False(t, ok)
+	after, ok := send(nil)
+	assert.True(t, ok)
+	for _, r := range []*recorder{before, after} {
+		assert.Eventually(t, func() bool {
+			parts, _, err := r.state()
+			return parts == 1 && err == nil
+		}, 2*time.Second, time.Millisecond)
+	}
+}
