Do not forward relayed parts to a target whose rate is limited

Found while looking for permissions that are used after they have run out: a host that relays parts checked only that the target is in use. A target turns cold at any moment, and the host that sent the parts may hear of it up to 1.5 s after the relay; its parts then came on top of those of the hosts that share the rate of the cold target. Change: such parts are not sent, and the other host is told so.

--- a/internal/serving/gateway/gateway_test.go
+++ b/internal/serving/gateway/gateway_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -79,10 +81,19 @@
 	}
 }
 
+// apply applies changes as items of the store, in the order of their keys.
+func apply(g *gateway.Gateway, decoder changes, revision int64, keys ...string) {
+	var items []feed.Item
+	for _, key := range keys {
+		items = append(items, feed.Item{Key: key, Revision: revision})
+	}
+	g.Apply(time.Now(), items, revision == 1, time.Time{})
+}
+
 // newSearchGateway returns a gateway with a route to three shards of two targets each. The
 // targets whose ID starts with silentPrefix do not answer. Its connections are closed when
 // ctx ends.
-func newSearchGateway(ctx context.Context, latencyTarget time.Duration, silentPrefix string) *gateway.Gateway {
+func newSearchGateway(ctx context.Context, latencyTarget time.Duration, silentPrefix string) (*gateway.Gateway, changes) {
 	shards := []string{"s1", "s2", "s3"}
 	route := &manifest.Route{
 		Name: "search", Host: "h", Prefix: "/", Shards: shards, TopK: 3, MinCoverage: 0.6, Idempotent: true,
@@ -91,7 +102,7 @@
 	decoder := changes{}
 	var services []*manifest.Service
 	for _, s := range shards {
-		services = append(services, &manifest.Service{Name: s, MaxConnections: 20})
+		services = append(services, &manifest.Service{Name: s, MaxConnections: 20, MaxColdRate: 2})
 		for _, id := range []string{s + "-a", s + "-b"} {
 			decoder[id] = gateway.Change{Target: &catalog.Target{ID: id, Service: s, Address: id, DataCentre: "d", Slots: 2, Incarnation: 1}}
 		}
@@ -108,12 +119,8 @@
 		Bounds: gateway.Bounds{RetryFraction: 0.2, RetryWindow: 10 * time.Second, RetryAllowance: 50},
 		Random: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler), Stats: &stats.Registry{},
 	})
-	var items []feed.Item
-	for key := range decoder {
-		items = append(items, feed.Item{Key: key, Revision: 1})
-	}
-	g.Apply(time.Now(), items, true, time.Time{})
-	return g
+	apply(g, decoder, 1, slices.Sorted(maps.Keys(decoder))...)
+	return g, decoder
 }
 
 // TestPartialAnswerMeetsLatencyTarget searches while no target of one of three shards
@@ -123,7 +130,7 @@
 	const latencyTarget, roundTrip = 200 * time.Millisecond, 5 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		g := newSearchGateway(ctx, latencyTarget, "s2")
+		g, _ := newSearchGateway(ctx, latencyTarget, "s2")
 		for range 20 {
 			arrived := time.Now()
 			got := g.Serve(ctx, &gateway.Request{
@@ -139,3 +146,30 @@
 		cancel()
 	})
 }
+
+// TestRelayedPartsDoNotReachColdTarget relays parts to a target that has turned cold, for a
+// host that has not heard of that yet. Only the hosts that share the rate of a cold target
+// may send to it, so none of the parts must reach it.
+func TestRelayedPartsDoNotReachColdTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		g, decoder := newSearchGateway(ctx, 200*time.Millisecond, "none")
+		forward := func() exchange.Reply {
+			req := &exchange.Request{ID: "1", Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{}}
+			return g.Forward(ctx, "s1-a", req, func() time.Duration { return 100 * time.Millisecond })
+		}
+		assert.Equal(t, search.Good, forward().Outcome)
+		cold := *decoder["s1-a"].Target
+		cold.Sequence, cold.WarmupLeft = 1, 3*time.Second
+		decoder["s1-a"] = gateway.Change{Target: &cold}
+		apply(g, decoder, 2, "s1-a")
+		for range 20 {
+			got := forward()
+			assert.Equal(t, search.NotSent, got.Outcome)
+			assert.True(t, got.LocalFailure)
+		}
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, search.Good, forward().Outcome, "the target is warm again")
+		cancel()
+	})
+}
--- a/internal/serving/gateway/relay.go
+++ b/internal/serving/gateway/relay.go
@@ -170,22 +170,31 @@
 }
 
 // Forward sends a part to a target on behalf of another host. timeLeft returns the time
-// left for the part.
+// left for the part. Parts are not forwarded to a target whose rate is limited because it is
+// cold, since only hosts with a permission send to it; the other host may not know yet that
+// it has turned cold.
 func (g *Gateway) Forward(ctx context.Context, target string, req *exchange.Request, timeLeft func() time.Duration) exchange.Reply {
-	g.mu.Lock()
-	e := g.usableTarget(target)
-	g.mu.Unlock()
+	e := g.forwardTarget(target)
 	if e == nil {
 		return exchange.Reply{Outcome: search.NotSent, Reason: reasonUnusable, LocalFailure: true}
 	}
 	g.stats.Add("relay-forwarded", 1)
 	g.partsSent.Add(1)
 	return g.pool.Do(ctx, exchange.Target{ID: e.ID, Address: e.Address}, req, func() time.Duration {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		if g.usableTarget(target) == nil {
+		if g.forwardTarget(target) == nil {
 			return 0
 		}
 		return timeLeft()
 	})
 }
+
+// forwardTarget returns the target if parts of other hosts can be sent to it, or nil.
+func (g *Gateway) forwardTarget(id string) *catalog.Entry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.usableTarget(id)
+	if e == nil || g.rateLimited(time.Now(), e) {
+		return nil
+	}
+	return e
+}
