Let a host that the store refuses call it rarely while other hosts reach it

Change: as long as updates of other hosts are at most 1.6 s old, one call in 4 s, and an update each half second instead of each second. When they become old, the store is down for all, and each host calls it each second as before.

--- a/internal/fleet/feed/cursor.go
+++ b/internal/fleet/feed/cursor.go
@@ -19,6 +19,9 @@
 	// that has no list of the items yet: it cannot serve without one, and such calls are no
 	// load for the store.
 	startRetryDelay = 150 * time.Millisecond
+	// refusedRetryDelay is the delay after a failed call of a host that gets current updates
+	// from other hosts: the store serves them and refuses this one only.
+	refusedRetryDelay = 4 * time.Second
 	// outageThreshold is the number of consecutive failed calls from which the
 	// store is considered down.
 	outageThreshold = 2
@@ -59,6 +62,10 @@
 	// peerOutage is the time of the last store outage that other hosts reported.
 	peerOutage     time.Time
 	peerBackoffEnd time.Time
+	// storeRetryAt is when a host that the store refuses calls it again while it gets
+	// current updates from other hosts, and currentUpdateAt when it got the last one.
+	storeRetryAt    time.Time
+	currentUpdateAt time.Time
 	// returnEnd is the end of the period after an outage of the store in which changes are
 	// requested at returnInterval.
 	returnEnd time.Time
@@ -98,7 +105,7 @@
 	if now.Before(c.nextCall) {
 		return None, c.nextCall
 	}
-	if c.failures > 0 && hasPeers && !c.askedPeer {
+	if c.failures > 0 && hasPeers && (!c.askedPeer || c.refusedAlone(now)) {
 		c.askedPeer = true
 		return Fetch, now
 	}
@@ -112,6 +119,12 @@
 	return Watch, now
 }
 
+// refusedAlone reports whether the store refuses this host while other hosts reach it, and
+// the next call to it is not due yet.
+func (c *Cursor) refusedAlone(now time.Time) bool {
+	return c.listed && now.Before(c.storeRetryAt) && now.Sub(c.currentUpdateAt) < maxUpdateAge
+}
+
 // StoreReplied records that the store answered a call that started at began, with all
 // items or with the changes, up to a revision.
 func (c *Cursor) StoreReplied(began, now time.Time, revision int64) {
@@ -150,6 +163,11 @@
 		c.lastReply = at
 	}
 	if c.failures > 0 {
+		c.currentUpdateAt = time.Time{}
+		if age <= maxUpdateAge {
+			c.currentUpdateAt = now
+			c.nextCall = began.Add(c.interval(now) / 2)
+		}
 		return
 	}
 	if age > maxUpdateAge {
@@ -162,6 +180,7 @@
 
 // PeerFailed records that no update was received from another host.
 func (c *Cursor) PeerFailed(now time.Time) {
+	c.currentUpdateAt = time.Time{}
 	if c.failures == 0 {
 		c.peerBackoffEnd = now.Add(peerBackoff)
 		c.nextCall = now
@@ -174,6 +193,7 @@
 	c.failures++
 	if c.failures >= outageThreshold {
 		c.lastOutage = now
+		c.storeRetryAt = now.Add(refusedRetryDelay)
 	}
 	c.nextCall = now.Add(min(maxRetryDelay, minRetryDelay<<min(c.failures-1, 4)))
 	if unreached && !c.listed {
--- a/internal/fleet/feed/cursor_test.go
+++ b/internal/fleet/feed/cursor_test.go
@@ -122,3 +122,33 @@
 	other.PeerReplied(at(5100), at(5101), 120, 10*time.Millisecond, at(2000))
 	assert.Equal(t, feed.None, next(other, 5500, true, true))
 }
+
+// TestHostRefusedByStoreCallsItRarely checks a host that the store refuses for a minute
+// while other hosts reach it. It stays as current as they are, with one call in 4 s. When
+// their updates become old, the store is down for all, and each host calls it each second
+// to notice its return.
+func TestHostRefusedByStoreCallsItRarely(t *testing.T) {
+	run := func(age time.Duration) (calls, fetched int) {
+		c := listed()
+		for ms := 1000; ms < 61_000; {
+			action, when := c.Next(at(ms), false, true)
+			switch action {
+			case feed.Watch:
+				calls++
+				c.StoreFailed(at(ms), false)
+			case feed.Fetch:
+				fetched++
+				c.PeerReplied(at(ms), at(ms), 100, age, time.Time{})
+			default:
+				ms = int(when.Sub(at(0)).Milliseconds())
+			}
+		}
+		return calls, fetched
+	}
+	calls, fetched := run(300 * time.Millisecond)
+	assert.LessOrEqual(t, calls, 18)
+	assert.GreaterOrEqual(t, calls, 14)
+	assert.GreaterOrEqual(t, fetched, 90, "an update each half second, but for the first calls")
+	calls, _ = run(10 * time.Second)
+	assert.GreaterOrEqual(t, calls, 59)
+}
