--- a/internal/serving/dispatch/queue.go
+++ b/internal/serving/dispatch/queue.go
@@ -12,10 +12,11 @@
 	// decreaseInterval is the minimum time between two reductions of the limit.
 	maxInFlight      = 32
 	decreaseInterval = 50 * time.Millisecond
-	// lateFraction is the fraction of its time from which a request shows that the target
-	// is too slow for its load. Below it, only a fraction above maxTimeFraction keeps the
-	// limit from rising: a slow target may use most of the time without any queue.
-	lateFraction    = 0.9
+	// lateFraction is the fraction of its time from which a request lowers the limit. It is
+	// high because a slow target may take most of the time without any queue.
+	lateFraction = 0.9
+	// maxTimeFraction bounds the fraction that the limiter gets to see of the other requests.
+	// It neither lowers nor raises the limit.
 	maxTimeFraction = 0.6
 )
 
@@ -40,8 +41,8 @@
 	expiresAt time.Time
 }
 
-// Reset empties the queue and sets the maximum number of requests in flight, in addition
-// to the limit that follows the target; it is at least 1.
+// Reset empties the queue and sets the maximum number of requests in flight, at least 1,
+// which applies besides the limit that follows the target.
 func (q *Queue[T]) Reset(capacity int) {
 	*q = Queue[T]{}
 	q.limiter.Reset(maxInFlight, decreaseInterval)
