List two checks that failed once beside heavy load, apart from the functional ones

Beside eight busy loops more, the first fails in 2 of 5 runs, and in 1 of 5 with the code before this work; the second in 1 of 5 and 0 of 5. Neither is traced. Change: each failing check is a test of its own, with its bound unchanged, and listed; the other checks of the two tests go on running.

--- a/internal/trial/faults_test.go
+++ b/internal/trial/faults_test.go
@@ -62,23 +62,37 @@
 	assert.Equal(t, 9, r.SampleAnswers[0].Coverage.Snapshot)
 }
 
-// TestEvacuatedDataCentreGetsNoNewWork evacuates a data centre by a change of
-// settings and then reverts the change. In between, its targets must get no
-// exchanges and callers no addresses of its hosts.
-func TestEvacuatedDataCentreGetsNoNewWork(t *testing.T) {
-	cluster := startCluster(t, trial.Options{Hosts: 3})
-	load := trial.Load{Rate: 100, Duration: time.Second, Scopes: []string{"dispatch-desk"}, Seed: 1}
+// evacuate starts a cluster and evacuates a data centre by a change of settings. It returns
+// the settings before.
+func evacuate(t *testing.T, load trial.Load) (cluster *trial.Cluster, settings string) {
+	t.Helper()
+	cluster = startCluster(t, trial.Options{Hosts: 3})
 	cluster.RunLoad(load)
-	settings := cluster.Deployment().Settings()
+	settings = cluster.Deployment().Settings()
 	evacuated := strings.Replace(settings, "[data-centres.khomas-b]\nstate = \"in\"", "[data-centres.khomas-b]\nstate = \"out\"", 1)
 	require.NotEqual(t, settings, evacuated)
 	require.NoError(t, cluster.ApplySettings(evacuated))
 	require.Eventually(t, func() bool { return allAtRevision(cluster, 2) }, 4*time.Second, 10*time.Millisecond)
 	time.Sleep(200 * time.Millisecond)
+	return cluster, settings
+}
+
+// TestEvacuationFailsNoSearch evacuates a data centre under light load. No search may be
+// refused or fail.
+func TestEvacuationFailsNoSearch(t *testing.T) {
+	load := trial.Load{Rate: 100, Duration: time.Second, Scopes: []string{"dispatch-desk"}, Seed: 1}
+	cluster, _ := evacuate(t, load)
+	assert.Empty(t, cluster.RunLoad(load).FailureReasons)
+}
+
+// TestEvacuatedDataCentreGetsNoNewWork evacuates a data centre and then reverts the change.
+// In between, its targets must get no exchanges and callers no addresses of its hosts.
+func TestEvacuatedDataCentreGetsNoNewWork(t *testing.T) {
+	load := trial.Load{Rate: 100, Duration: time.Second, Scopes: []string{"dispatch-desk"}, Seed: 1}
+	cluster, settings := evacuate(t, load)
 	before := exchanges(cluster, "khomas-b")
 	r := cluster.RunLoad(load)
 	assert.Equal(t, before, exchanges(cluster, "khomas-b"), "its targets got exchanges")
-	assert.Empty(t, r.FailureReasons)
 	assert.Equal(t, 1.0, r.Coverage(), "replicas in other data centres cover its shards: %v", r.MissingReasons)
 	for _, d := range cluster.Daemons() {
 		var a struct{ Hosts []caller.Address }
--- a/internal/trial/process_test.go
+++ b/internal/trial/process_test.go
@@ -229,9 +229,10 @@
 	t.Logf("answered %d, refused %d, shards missing %d, no answer %d", callers.answered.Load(), callers.refused.Load(), callers.missing.Load(), callers.unanswered.Load())
 }
 
-// TestKilledHostIsReplaced kills a daemon and waits until it is removed from the
-// members. Afterwards the other hosts must cover every shard.
-func TestKilledHostIsReplaced(t *testing.T) {
+// killHost starts four daemons, kills one of them under load and waits until it is removed
+// from the members.
+func killHost(t *testing.T) *processes {
+	t.Helper()
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
@@ -248,14 +249,26 @@
 		}, 15*time.Second, 100*time.Millisecond)
 		time.Sleep(time.Second)
 	})
-	counts := p.targetCounts()
-	assert.Zero(t, counts.Overruns+counts.ColdOverruns, "target over capacity")
+	t.Logf("answered %d, refused %d, shards missing %d, no answer %d", callers.answered.Load(), callers.refused.Load(), callers.missing.Load(), callers.unanswered.Load())
+	return p
+}
+
+// TestKilledHostIsReplaced kills a daemon. Once it is removed from the members, the other
+// hosts must cover every shard.
+func TestKilledHostIsReplaced(t *testing.T) {
+	p := killHost(t)
 	client := caller.NewClient("", p.callerAddresses[0])
 	defer client.Close()
 	a, err := client.SearchHost(context.Background(), p.callerAddresses[0], caller.Search{Terms: "snapshot"})
 	require.NoError(t, err)
 	assert.Empty(t, a.Coverage.Missing)
-	t.Logf("answered %d, refused %d, shards missing %d, no answer %d", callers.answered.Load(), callers.refused.Load(), callers.missing.Load(), callers.unanswered.Load())
+}
+
+// TestKilledHostOverrunsNoTarget kills a daemon. The hosts that take over its targets must
+// not exceed their capacity.
+func TestKilledHostOverrunsNoTarget(t *testing.T) {
+	counts := killHost(t).targetCounts()
+	assert.Zero(t, counts.Overruns+counts.ColdOverruns, "target over capacity")
 }
 
 // targetCounts fetches the counts of all targets from the stand-in process.
