--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -329,24 +329,3 @@
 	}
 	return update, true
 }
-
-// State describes how current the known items of the store are.
-type State struct {
-	// Revision is the revision up to which changes are known, and Age the time since
-	// the store last answered this host or a host from which it got an update.
-	Revision int64
-	Age      time.Duration
-	// Reachable reports whether the store answers, and ChangedAt is when it was last
-	// lost or regained; zero if it never was.
-	Reachable bool
-	ChangedAt time.Time
-}
-
-// State returns how current the known items of the store are.
-func (f *Feed) State(now time.Time) State {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return State{
-		Revision: f.cursor.Revision(), Age: now.Sub(f.cursor.LastReply()), Reachable: f.cursor.Reachable(), ChangedAt: f.changedAt,
-	}
-}
