--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"fescuerill/host"
+	"fescuerill/internal/observe/traffic"
 	"fescuerill/internal/schema/fleet"
 	"fescuerill/internal/stats"
 )
@@ -65,6 +66,7 @@
 	self    Self
 	log     *slog.Logger
 	stats   *stats.Registry
+	meter   *traffic.Meter
 	conn    net.PacketConn
 	updates UpdateSource
 
@@ -93,10 +95,10 @@
 }
 
 // Start probes other hosts and answers their probes over the datagram socket until ctx
-// ends.
-func Start(ctx context.Context, self Self, conn net.PacketConn, random *rand.Rand, log *slog.Logger, registry *stats.Registry) *Peers {
+// ends. Bytes sent to and received from other hosts are counted in meter.
+func Start(ctx context.Context, self Self, conn net.PacketConn, random *rand.Rand, log *slog.Logger, registry *stats.Registry, meter *traffic.Meter) *Peers {
 	p := &Peers{
-		ctx: ctx, self: self, conn: conn, log: log, stats: registry,
+		ctx: ctx, self: self, conn: conn, log: log, stats: registry, meter: meter,
 		dataCentres: map[string]string{}, cores: map[string]float64{}, diedAt: map[string]time.Time{}, pending: map[int]probe{},
 		startedAt: time.Now(),
 	}
@@ -389,7 +391,20 @@
 	}
 	if _, err := p.conn.WriteTo(text, address); err != nil && !errors.Is(err, net.ErrClosed) {
 		p.stats.Add("datagrams-not-sent", 1)
+		return
+	}
+	p.meter.Sent(traffic.Probe, p.scope(to), len(text))
+}
+
+// scope returns where another host is.
+func (p *Peers) scope(address string) traffic.Scope {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	dataCentre, known := p.dataCentres[address]
+	if !known {
+		return traffic.Elsewhere
 	}
+	return traffic.ScopeOf(p.self.DataCentre, dataCentre)
 }
 
 func (p *Peers) receive() {
@@ -409,6 +424,7 @@
 			p.stats.Add("datagrams-unreadable", 1)
 			continue
 		}
+		p.meter.Received(traffic.Probe, traffic.ScopeOf(p.self.DataCentre, m.DataCentre), n)
 		p.handleMessage(m)
 	}
 }
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -65,7 +65,7 @@
 	address := conn.LocalAddr().String()
 	m := &member{address: address, conn: &lossyConn{PacketConn: conn}, source: &updates{}, stop: cancel}
 	self := peers.Self{Address: address, DataCentre: dataCentre, Incarnation: fmt.Sprint("run", n)}
-	m.Peers = peers.Start(ctx, self, m.conn, rand.New(rand.NewPCG(uint64(n), 1)), slog.New(slog.DiscardHandler), &stats.Registry{})
+	m.Peers = peers.Start(ctx, self, m.conn, rand.New(rand.NewPCG(uint64(n), 1)), slog.New(slog.DiscardHandler), &stats.Registry{}, nil)
 	go m.Serve(ctx, l, m.source)
 	m.ProbeAll(seeds)
 	return m
--- a/internal/fleet/peers/reader_test.go
+++ b/internal/fleet/peers/reader_test.go
@@ -88,7 +88,7 @@
 	for i, r := range records {
 		self := peers.Self{Address: r.Address, DataCentre: r.DataCentre, Incarnation: r.Incarnation, Cores: r.Cores}
 		conn := &lossyConn{PacketConn: network.listen(r.Address)}
-		all = append(all, peers.Start(t.Context(), self, conn, rand.New(rand.NewPCG(uint64(i), 1)), slog.New(slog.DiscardHandler), &stats.Registry{}))
+		all = append(all, peers.Start(t.Context(), self, conn, rand.New(rand.NewPCG(uint64(i), 1)), slog.New(slog.DiscardHandler), &stats.Registry{}, nil))
 	}
 	for _, p := range all {
 		for _, r := range records {
--- a/internal/fleet/peers/updates.go
+++ b/internal/fleet/peers/updates.go
@@ -14,6 +14,7 @@
 
 	"fescuerill/host"
 	"fescuerill/internal/fleet/feed"
+	"fescuerill/internal/observe/traffic"
 	"fescuerill/internal/schema/fleet"
 	"fescuerill/owner"
 )
@@ -58,11 +59,25 @@
 			}
 			return
 		}
-		stream := jsonrpc2.NewPlainObjectStream(conn)
+		stream := jsonrpc2.NewPlainObjectStream(p.meter.Conn(conn, traffic.Update, p.scopeOfIP(conn.RemoteAddr())))
 		_ = jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(p.handleRequest))
 	}
 }
 
+// scopeOfIP returns where the host with the IP address of a connection is. All hosts use the
+// same port for messages of other hosts.
+func (p *Peers) scopeOfIP(remote net.Addr) traffic.Scope {
+	ip, _, err := net.SplitHostPort(remote.String())
+	if err != nil {
+		return traffic.Elsewhere
+	}
+	_, port, err := net.SplitHostPort(p.self.Address)
+	if err != nil {
+		return traffic.Elsewhere
+	}
+	return p.scope(net.JoinHostPort(ip, port))
+}
+
 func (p *Peers) handleRequest(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 	if r.Method != updateMethod || r.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method"}
@@ -222,7 +237,7 @@
 	if err != nil {
 		return reply, errors.Wrap(err, "connect to host")
 	}
-	client := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(
+	client := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(p.meter.Conn(conn, traffic.Update, p.scope(address))), jsonrpc2.HandlerWithError(
 		func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no methods here"}
 		}))
--- a/internal/serving/exchange/answer.go
+++ b/internal/serving/exchange/answer.go
@@ -30,6 +30,7 @@
 // bytes while it is limited. A target in trouble may send bytes without end.
 type headLimiter struct {
 	source  io.Reader
+	onRead  func(n int)
 	limited bool
 	left    int
 }
@@ -42,14 +43,15 @@
 
 // Read implements io.Reader.
 func (l *headLimiter) Read(b []byte) (int, error) {
-	if !l.limited {
-		return l.source.Read(b)
-	}
-	if l.left <= 0 {
+	if l.limited && l.left <= 0 {
 		return 0, errAnswerTooLong
 	}
-	n, err := l.source.Read(b[:min(len(b), l.left)])
+	if l.limited {
+		b = b[:min(len(b), l.left)]
+	}
+	n, err := l.source.Read(b)
 	l.left -= n
+	l.onRead(n)
 	return n, err
 }
 
--- a/internal/serving/exchange/conn.go
+++ b/internal/serving/exchange/conn.go
@@ -41,8 +41,9 @@
 	noReuse bool
 }
 
-func newConn(raw net.Conn) *conn {
-	head := &headLimiter{source: raw}
+// newConn returns a connection that calls onRead with the number of bytes of each read.
+func newConn(raw net.Conn, onRead func(n int)) *conn {
+	head := &headLimiter{source: raw, onRead: onRead}
 	return &conn{raw: raw, head: head, reader: bufio.NewReaderSize(head, 2048), idleTimeout: maxIdleTime}
 }
 
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"fescuerill/internal/observe/traffic"
 	"fescuerill/internal/serving/search"
 )
 
@@ -13,6 +14,16 @@
 type Target struct {
 	ID      string
 	Address string
+	// Remote reports that the target is in another data centre.
+	Remote bool
+}
+
+// scope returns where the target is.
+func (t Target) scope() traffic.Scope {
+	if t.Remote {
+		return traffic.Remote
+	}
+	return traffic.Local
 }
 
 // Request is a request of a caller that is forwarded to targets. It must not be modified
--- a/internal/serving/exchange/pool.go
+++ b/internal/serving/exchange/pool.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"fescuerill/internal/observe/traffic"
 	"fescuerill/internal/serving/dispatch"
 	"fescuerill/internal/serving/search"
 )
@@ -65,6 +66,7 @@
 	protocol Protocol
 	// onOpen is called after each connection is opened.
 	onOpen  func()
+	meter   *traffic.Meter
 	mu      sync.Mutex
 	targets map[string]*targetConns
 }
@@ -77,9 +79,9 @@
 	queue   dispatch.Queue[chan struct{}]
 }
 
-// Reset initialises an empty pool.
-func (p *Pool) Reset(dial DialFunc, protocol Protocol, onOpen func()) {
-	p.dial, p.protocol, p.onOpen = dial, protocol, onOpen
+// Reset initialises an empty pool. The bytes of requests and answers are counted in meter.
+func (p *Pool) Reset(dial DialFunc, protocol Protocol, onOpen func(), meter *traffic.Meter) {
+	p.dial, p.protocol, p.onOpen, p.meter = dial, protocol, onOpen, meter
 	p.targets = map[string]*targetConns{}
 }
 
@@ -207,7 +209,7 @@
 		return nil, dialFailure(ctx, err), false
 	}
 	p.onOpen()
-	return newConn(raw), Reply{}, true
+	return newConn(raw, func(n int) { p.meter.Received(traffic.Part, t.scope(), n) }), Reply{}, true
 }
 
 // dialFailure returns the reply for a connection that could not be opened.
@@ -268,7 +270,9 @@
 	if err := c.raw.SetDeadline(time.Now().Add(left + answerGrace)); err != nil {
 		return Reply{Outcome: search.NotSent, Reason: reasonWriteFailed, Err: err}
 	}
-	if err := c.write(req, t, p.protocol, left); err != nil {
+	err := c.write(req, t, p.protocol, left)
+	p.meter.Sent(traffic.Part, t.scope(), c.writeBuffer.Len())
+	if err != nil {
 		return Reply{Outcome: search.Unknown, Reason: reasonWriteFailed, Err: err}
 	}
 	r, err := c.read(req, p.protocol)
--- a/internal/serving/exchange/pool_test.go
+++ b/internal/serving/exchange/pool_test.go
@@ -106,7 +106,7 @@
 
 func newPool() *exchange.Pool {
 	var p exchange.Pool
-	p.Reset(exchange.DialTCP, testProtocol{}, func() {})
+	p.Reset(exchange.DialTCP, testProtocol{}, func() {}, nil)
 	return &p
 }
 
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"fescuerill/budget"
 	"fescuerill/internal/fleet/feed"
 	"fescuerill/internal/fleet/peers"
+	"fescuerill/internal/observe/traffic"
 	"fescuerill/internal/routing/catalog"
 	"fescuerill/internal/routing/manifest"
 	"fescuerill/internal/serving/exchange"
@@ -114,6 +115,8 @@
 	Random     *rand.Rand
 	Log        *slog.Logger
 	Stats      *stats.Registry
+	// Traffic counts the bytes of parts, sent by this host or through others.
+	Traffic *traffic.Meter
 }
 
 // New returns a gateway without a manifest. Its connections to other hosts are closed
@@ -123,9 +126,9 @@
 		dataCentre: o.DataCentre, fleet: o.Fleet, decoder: o.Decoder, log: o.Log, stats: o.Stats,
 		startedAt: time.Now(), bounds: o.Bounds, random: o.Random, retryBudgets: map[string]*budget.Window{},
 	}
-	g.relays.Reset(ctx, o.Log)
+	g.relays.Reset(ctx, o.Log, o.Traffic)
 	g.limiter.Reset(maxSearches, limitCutPeriod)
-	g.pool.Reset(o.Dial, o.Protocol, func() { g.stats.Add("target-connections-opened", 1) })
+	g.pool.Reset(o.Dial, o.Protocol, func() { g.stats.Add("target-connections-opened", 1) }, o.Traffic)
 	return g
 }
 
--- a/internal/serving/gateway/relay.go
+++ b/internal/serving/gateway/relay.go
@@ -180,7 +180,7 @@
 	}
 	g.stats.Add("relay-forwarded", 1)
 	g.partsSent.Add(1)
-	return g.pool.Do(ctx, exchange.Target{ID: e.ID, Address: e.Address}, req, func() time.Duration {
+	return g.pool.Do(ctx, g.address(e), req, func() time.Duration {
 		if g.forwardTarget(target) == nil {
 			return 0
 		}
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -179,7 +179,7 @@
 	e := r.g.catalog.Get(a.Target)
 	token := r.g.tracker.Begin(now, a.Target, r.typical)
 	r.g.partsSent.Add(1)
-	go r.send(now, a, exchange.Target{ID: e.ID, Address: e.Address}, token)
+	go r.send(now, a, r.g.address(e), token)
 }
 
 // send exchanges a part with the target that was chosen at a time and delivers the result.
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -9,6 +9,7 @@
 	"fescuerill/internal/invariant"
 	"fescuerill/internal/routing/catalog"
 	"fescuerill/internal/routing/manifest"
+	"fescuerill/internal/serving/exchange"
 )
 
 // Apply implements feed.Sink.
@@ -150,6 +151,11 @@
 	}
 }
 
+// address returns where requests to a target are sent.
+func (g *Gateway) address(e *catalog.Entry) exchange.Target {
+	return exchange.Target{ID: e.ID, Address: e.Address, Remote: e.DataCentre != g.dataCentre}
+}
+
 // usableTarget returns the target if new requests can be sent to it, or nil. The gateway is
 // locked.
 func (g *Gateway) usableTarget(id string) *catalog.Entry {
--- a/internal/serving/relay/connections.go
+++ b/internal/serving/relay/connections.go
@@ -12,6 +12,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"fescuerill/internal/network/frame"
+	"fescuerill/internal/observe/traffic"
 	wire "fescuerill/internal/schema/relay"
 	"fescuerill/ring"
 )
@@ -43,13 +44,15 @@
 type Connections struct {
 	ctx       context.Context
 	log       *slog.Logger
+	meter     *traffic.Meter
 	mu        sync.Mutex
 	byAddress map[string]*hostConn
 }
 
-// Reset initialises an empty set of connections, which are closed when ctx ends.
-func (cs *Connections) Reset(ctx context.Context, log *slog.Logger) {
-	cs.ctx, cs.log, cs.byAddress = ctx, log, map[string]*hostConn{}
+// Reset initialises an empty set of connections, which are closed when ctx ends. Their bytes
+// are counted in meter.
+func (cs *Connections) Reset(ctx context.Context, log *slog.Logger, meter *traffic.Meter) {
+	cs.ctx, cs.log, cs.meter, cs.byAddress = ctx, log, meter, map[string]*hostConn{}
 }
 
 // hostConn is the connection to one relay host, with its pending requests.
@@ -88,7 +91,7 @@
 	defer hc.mu.Unlock()
 	if hc.conn == nil && !hc.connecting && time.Now().After(hc.backOffUntil) {
 		hc.connecting = true
-		go hc.connect(cs.ctx)
+		go hc.connect(cs.ctx, cs.meter)
 	}
 	return hc.conn != nil && time.Now().After(hc.backOffUntil)
 }
@@ -152,7 +155,7 @@
 }
 
 // connect opens the connection and starts its write loop.
-func (hc *hostConn) connect(ctx context.Context) {
+func (hc *hostConn) connect(ctx context.Context, meter *traffic.Meter) {
 	d := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
@@ -168,7 +171,7 @@
 	}
 	setAckTimeout(raw)
 	hc.queue.Drain(nil)
-	stream := newStream(raw, hc.handleData)
+	stream := newStream(meter.Conn(raw, traffic.Relay, traffic.Remote), hc.handleData)
 	c := readMessages(ctx, stream)
 	hc.conn = c
 	go hc.writeLoop(ctx, stream, c)
--- a/internal/serving/relay/relay_test.go
+++ b/internal/serving/relay/relay_test.go
@@ -98,14 +98,14 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	go relay.Serve(ctx, listener, send, slog.New(slog.DiscardHandler))
+	go relay.Serve(ctx, listener, send, slog.New(slog.DiscardHandler), nil)
 	return testHost{address: listener.Addr().String(), stop: cancel}
 }
 
 // connect returns connections that are ready to send requests to the host.
 func connect(t *testing.T, h testHost) *relay.Connections {
 	var conns relay.Connections
-	conns.Reset(t.Context(), slog.New(slog.DiscardHandler))
+	conns.Reset(t.Context(), slog.New(slog.DiscardHandler), nil)
 	require.Eventually(t, func() bool { return conns.Ready(h.address) }, 2*time.Second, time.Millisecond)
 	return &conns
 }
@@ -197,7 +197,7 @@
 
 func TestUnreachableHostIsNotReady(t *testing.T) {
 	var conns relay.Connections
-	conns.Reset(t.Context(), slog.New(slog.DiscardHandler))
+	conns.Reset(t.Context(), slog.New(slog.DiscardHandler), nil)
 	for range 20 {
 		assert.False(t, conns.Ready("127.0.0.1:1"))
 		time.Sleep(time.Millisecond)
@@ -263,9 +263,9 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b, err)
 	body := goodReply("3e1b.07.5a2.600.0.c9f2a4d1", strings.Split("abcdefghijklmnopqrstuvwxy", "")...)
-	go relay.Serve(ctx, listener, func(context.Context, string, *exchange.Request, func() time.Duration) exchange.Reply { return body }, slog.New(slog.DiscardHandler))
+	go relay.Serve(ctx, listener, func(context.Context, string, *exchange.Request, func() time.Duration) exchange.Reply { return body }, slog.New(slog.DiscardHandler), nil)
 	var conns relay.Connections
-	conns.Reset(ctx, slog.New(slog.DiscardHandler))
+	conns.Reset(ctx, slog.New(slog.DiscardHandler), nil)
 	for !conns.Ready(listener.Addr().String()) {
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/serving/relay/serve.go
+++ b/internal/serving/relay/serve.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"fescuerill/internal/network/frame"
+	"fescuerill/internal/observe/traffic"
 	wire "fescuerill/internal/schema/relay"
 	"fescuerill/internal/serving/exchange"
 )
@@ -19,7 +20,8 @@
 type SendFunc func(ctx context.Context, target string, req *exchange.Request, left func() time.Duration) exchange.Reply
 
 // Serve accepts connections of other hosts and sends parts on their behalf until ctx ends.
-func Serve(ctx context.Context, l net.Listener, send SendFunc, log *slog.Logger) {
+// The bytes of these connections are counted in meter.
+func Serve(ctx context.Context, l net.Listener, send SendFunc, log *slog.Logger, meter *traffic.Meter) {
 	context.AfterFunc(ctx, func() { _ = l.Close() })
 	for {
 		raw, err := l.Accept()
@@ -32,7 +34,7 @@
 		s := &session{send: send, log: log, cancels: map[int]context.CancelFunc{}}
 		s.ctx, s.cancel = context.WithCancel(ctx)
 		setAckTimeout(raw)
-		s.stream = newStream(raw, s.handleData)
+		s.stream = newStream(meter.Conn(raw, traffic.Relay, traffic.Remote), s.handleData)
 		c := readMessages(s.ctx, s.stream)
 		go func() {
 			select {
--- a/internal/serving/server/callerconn.go
+++ b/internal/serving/server/callerconn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"fescuerill/internal/observe/traffic"
 )
 
 // maxHeaderTime is how long a caller may take to send a header if the manifest sets no
@@ -21,14 +23,15 @@
 	net.Listener
 	// limit returns the limit in force; 0 means no limit.
 	limit func() time.Duration
+	meter *traffic.Meter
 	// stopped is closed by the first call of stop.
 	stopped  chan struct{}
 	stopOnce sync.Once
 }
 
 // newCallerListener returns a listener on top of another one.
-func newCallerListener(l net.Listener, limit func() time.Duration) *callerListener {
-	return &callerListener{Listener: l, limit: limit, stopped: make(chan struct{})}
+func newCallerListener(l net.Listener, limit func() time.Duration, meter *traffic.Meter) *callerListener {
+	return &callerListener{Listener: l, limit: limit, meter: meter, stopped: make(chan struct{})}
 }
 
 // Accept implements net.Listener.
@@ -44,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, limit: l.limit}, nil
+	return &callerConn{Conn: c, limit: l.limit, meter: l.meter}, nil
 }
 
 // stop ends Accept after the connections that callers have already opened have been
@@ -65,6 +68,7 @@
 type callerConn struct {
 	net.Conn
 	limit func() time.Duration
+	meter *traffic.Meter
 
 	mu sync.Mutex
 	// received is set once the first byte has been received.
@@ -79,11 +83,19 @@
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
+		c.meter.Received(traffic.Caller, traffic.Elsewhere, n)
 		c.requestStarted()
 	}
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *callerConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.meter.Sent(traffic.Caller, traffic.Elsewhere, n)
+	return n, err
+}
+
 // requestStarted records that a part of a request has arrived.
 func (c *callerConn) requestStarted() {
 	c.mu.Lock()
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -20,6 +20,7 @@
 	"fescuerill/internal/fleet/feed"
 	"fescuerill/internal/fleet/peers"
 	"fescuerill/internal/invariant"
+	"fescuerill/internal/observe/traffic"
 	"fescuerill/internal/serving/exchange"
 	"fescuerill/internal/serving/gateway"
 	"fescuerill/internal/serving/relay"
@@ -55,6 +56,8 @@
 	feed.Source
 	gateway.Decoder
 	exchange.Protocol
+	// SetMeter sets where the bytes of calls to the store are counted.
+	SetMeter(m *traffic.Meter)
 	// RenewHostRecord creates or renews the record of this host in the store.
 	RenewHostRecord(ctx context.Context, h peers.Host) error
 	// ListHostRecords returns the hosts with a record. Unless fresh is set, the records may
@@ -74,6 +77,7 @@
 	platform      Platform
 	log           *slog.Logger
 	stats         *stats.Registry
+	meter         traffic.Meter
 	gateway       *gateway.Gateway
 	peers         *peers.Peers
 	feed          feed.Feed
@@ -112,6 +116,7 @@
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryBytes)))
 		debug.SetGCPercent(gcPercent)
 	}
+	platform.SetMeter(&s.meter)
 	if err := s.start(ctx); err != nil {
 		cancel()
 		return nil, err
@@ -135,19 +140,19 @@
 		Address: s.settings.PeerAddress, DataCentre: s.settings.DataCentre,
 		Incarnation: strconv.FormatUint(rand.Uint64(), 36), Cores: s.settings.Cores,
 	}
-	s.peers = peers.Start(ctx, self, peerSocket, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), s.log, s.stats)
+	s.peers = peers.Start(ctx, self, peerSocket, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), s.log, s.stats, &s.meter)
 	s.active.Store(s.selectActive(time.Now()))
 	s.gateway = gateway.New(ctx, gateway.Options{
 		DataCentre: s.settings.DataCentre, Fleet: fleet{Peers: s.peers, server: s}, Decoder: s.platform, Protocol: s.platform,
 		Dial: exchange.DialTCP, Bounds: s.settings.Bounds,
-		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: s.log, Stats: s.stats,
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: s.log, Stats: s.stats, Traffic: &s.meter,
 	})
 	if s.settings.RelayAddress != "" {
 		relayListener, err := lc.Listen(ctx, "tcp", s.settings.RelayAddress)
 		if err != nil {
 			return errors.Wrap(err, "listen on relay address")
 		}
-		s.workers.Go(func() { relay.Serve(ctx, relayListener, s.gateway.Forward, s.log) })
+		s.workers.Go(func() { relay.Serve(ctx, relayListener, s.gateway.Forward, s.log, &s.meter) })
 	}
 	s.feed.Reset(s.platform, s.peers, s.gateway, s.log, s.stats)
 	s.workers.Go(func() { s.peers.Serve(ctx, peerListener, &s.feed) })
@@ -157,6 +162,7 @@
 	s.workers.Go(func() { s.recordLoop(ctx, self) })
 	s.workers.Go(func() { s.closeIdleLoop(ctx) })
 	s.workers.Go(func() { s.refreshActiveLoop(ctx) })
+	s.workers.Go(func() { s.logTrafficLoop(ctx) })
 	return s.startHTTPServers(ctx)
 }
 
@@ -172,7 +178,7 @@
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 	}
 	limited := func(l net.Listener) net.Listener {
-		s.frontListener = newCallerListener(l, s.headerLimit)
+		s.frontListener = newCallerListener(l, s.headerLimit, &s.meter)
 		return s.frontListener
 	}
 	if err := s.listenAndServe(ctx, s.frontServer, s.settings.FrontAddress, limited); err != nil {
@@ -281,6 +287,7 @@
 		s.stats.SetGauge("hosts-live", live)
 		s.stats.SetGauge("requests-running", s.gateway.InFlight())
 		s.stats.SetGauge("invariant-violations", int(invariant.Violations()))
+		s.meter.Each(func(name string, bytes int64) { fmt.Fprintf(w, "%s %d\n", name, bytes) })
 		s.stats.Each(func(name string, value int64) { fmt.Fprintf(w, "%s %d\n", name, value) })
 	})
 }
