Heed what targets say of themselves: leaving, and turned away for a time

Cause: a Server-Leaving header and the Retry-After of a 503 were read by nothing, so a host whose store was down went on sending to a leaving target, and hit a target that had asked it to wait.

The adapter decodes both into a statement of the answer. The catalog keeps it by incarnation: an older entry, or one that lapsed and came back, does not undo it, and a new start is free of it. Requests that wait for such a target go elsewhere at once; retries, hedges and relayed parts keep to it; a relay passes it on. A closed target is probed by one request at a time when it opens. If all targets of a service are closed, callers are refused at once until the first opens, with a spread. A Retry-After that is not a positive number counts as missing, one above 5 minutes as 5 minutes. Log line, counters, gauge and explain name them.

Datagrams between hosts are MessagePack, answered parts in relay results have a short form, full updates come from the own data centre, those for other data centres are compressed, and small hosts serve callers only if the load asks for them.

--- a/internal/fleet/directory/active.go
+++ b/internal/fleet/directory/active.go
@@ -16,25 +16,28 @@
 	minActiveLarge = 2
 	smallHostRatio = 0.5
 	// minActiveShare is the share of the cores of a data centre that belongs to active
-	// hosts at low load, so that there is capacity for a sudden rise.
+	// hosts at low load, so that there is capacity for a sudden rise. Small hosts are not
+	// added for it, only for the load: a search that they serve takes longer, while the
+	// large ones are hardly in use.
 	minActiveShare = 0.3
 	// partsPerSecondPerCore is the number of parts that a core sends per second at
 	// moderate utilisation.
 	partsPerSecondPerCore = 3000.0
 )
 
-// ActiveShare returns the share of the cores of a data centre that active hosts should
-// have, given the number of its cores and of the parts that its hosts send per second.
-// If no cores are known, the share is 1.
+// ActiveShare returns the share of the cores of a data centre that its load requires, given
+// the number of its cores and of the parts that its hosts send per second. If no cores are
+// known, the share is 1.
 func ActiveShare(cores, parts float64) float64 {
 	if cores <= 0 {
 		return 1
 	}
-	return min(1, max(minActiveShare, parts/(partsPerSecondPerCore*cores)))
+	return min(1, parts/(partsPerSecondPerCore*cores))
 }
 
 // AppendActive appends to dst the hosts that should serve callers: in each data centre the
-// smallest number of hosts that has the given share of its cores. With few active hosts,
+// smallest number of hosts that has the given share of its cores, or minActiveShare if that is
+// more. With few active hosts,
 // each sees more of the traffic and so has better statistics of the targets, and fewer
 // connections are needed and kept in use. Hosts with more cores come first, hosts with
 // equally many in the order of rendezvous hashing, so that all hosts select nearly the
@@ -53,11 +56,11 @@
 	largest := map[string]float64{}
 	for _, h := range ordered {
 		largest[h.DataCentre] = max(largest[h.DataCentre], h.Cores)
-		minimum := minActive
+		minimum, required := minActive, max(minActiveShare, share)
 		if h.Cores < smallHostRatio*largest[h.DataCentre] {
-			minimum = minActiveLarge
+			minimum, required = minActiveLarge, share
 		}
-		if count[h.DataCentre] >= minimum && selected[h.DataCentre] >= share*cores[h.DataCentre] {
+		if count[h.DataCentre] >= minimum && selected[h.DataCentre] >= required*cores[h.DataCentre] {
 			continue
 		}
 		count[h.DataCentre]++
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -169,19 +168,20 @@
 	return true
 }
 
-// Leave notifies the other hosts that this one is leaving.
-func (p *Peers) Leave() {
+// Leave notifies other hosts that this one is leaving: all of them if callers have its
+// address, and those of its data centre otherwise. The others learn it from these.
+func (p *Peers) Leave(active bool) {
 	p.mu.Lock()
 	p.members.Leave()
-	var all []string
+	var notified []string
 	p.members.Each(func(u host.Update) {
-		if u.State != host.Dead {
-			all = append(all, u.ID)
+		if u.State != host.Dead && (active || p.dataCentres[u.ID] == p.self.DataCentre) {
+			notified = append(notified, u.ID)
 		}
 	})
 	p.mu.Unlock()
-	for _, a := range all {
-		p.probe(a, "", 0)
+	for _, a := range notified {
+		p.send(a, fleet.MessageKindNotice, 0, "")
 	}
 }
 
@@ -379,7 +379,7 @@
 	if about != "" {
 		m.About = &about
 	}
-	text, err := json.Marshal(m)
+	text, err := m.MarshalMsg(nil)
 	if err != nil {
 		p.log.Error("encode datagram failed", "error", err)
 		return
@@ -420,7 +420,7 @@
 			continue
 		}
 		var m fleet.Message
-		if err := json.Unmarshal(buffer[:n], &m); err != nil || !validSender(m) {
+		if _, err := m.UnmarshalMsg(buffer[:n]); err != nil || !validSender(m) {
 			p.stats.Add("datagrams-unreadable", 1)
 			continue
 		}
--- a/internal/fleet/peers/updates.go
+++ b/internal/fleet/peers/updates.go
@@ -1,11 +1,13 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"encoding/base64"
 	"encoding/json"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,8 +30,11 @@
 
 const (
 	// currentPeers is the number of hosts that are asked for their revision before a full
-	// update is requested from one of them, and currentTimeout the time that they have.
-	currentPeers   = 3
+	// update is requested from one of them.
+	currentPeers = 3
+	// currentLocalPeers is the number of those in the data centre of this host.
+	currentLocalPeers = currentPeers - 1
+	// currentTimeout bounds the wait for their replies.
 	currentTimeout = 200 * time.Millisecond
 )
 
@@ -93,6 +98,11 @@
 	}
 	reply := encodeUpdate(now, update)
 	reply.PartsPerSecond = p.recordLoad(now, request)
+	if request.DataCentre != p.self.DataCentre {
+		if err := packItems(&reply); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+		}
+	}
 	return reply, nil
 }
 
@@ -116,9 +126,12 @@
 }
 
 func decodeUpdate(now time.Time, m fleet.UpdateReply) (feed.Update, error) {
-	update := feed.Update{Revision: int64(m.Revision), Full: m.Whole, Age: time.Duration(m.AgeMs) * time.Millisecond}
+	if err := unpackItems(&m); err != nil {
+		return feed.Update{}, err
+	}
+	update := feed.Update{Revision: int64(m.Revision), Full: m.Whole, Age: milliseconds(m.AgeMs)}
 	if m.TroubleMs != nil {
-		update.LastOutage = now.Add(-time.Duration(*m.TroubleMs) * time.Millisecond)
+		update.LastOutage = now.Add(-milliseconds(*m.TroubleMs))
 	}
 	for _, i := range m.Items {
 		item := feed.Item{Key: i.Key, Revision: int64(i.Revision), Deleted: i.Gone != nil && *i.Gone}
@@ -254,30 +267,49 @@
 // mostCurrentPeer returns the address of the host with the latest revision among up to
 // currentPeers random hosts that reply within currentTimeout, and whether one has replied.
 func (p *Peers) mostCurrentPeer(ctx context.Context) (string, bool) {
-	p.mu.Lock()
-	addresses := p.members.RandomAlive(nil, currentPeers, "")
-	p.mu.Unlock()
+	addresses := p.updateCandidates()
 	ctx, cancel := context.WithTimeout(ctx, currentTimeout)
 	defer cancel()
-	revisions := make([]int, len(addresses))
+	candidates := make([]UpdateCandidate, len(addresses))
 	var requests sync.WaitGroup
 	for i, address := range addresses {
 		requests.Go(func() {
-			revisions[i] = -1
-			if reply, err := p.requestUpdate(ctx, address, futureRevision, false); err == nil {
-				revisions[i] = reply.Revision
+			reply, err := p.requestUpdate(ctx, address, futureRevision, false)
+			candidates[i] = UpdateCandidate{
+				Replied: err == nil, Revision: int64(reply.Revision), Age: milliseconds(reply.AgeMs),
+				Local: p.scope(address) == traffic.Local,
 			}
 		})
 	}
 	requests.Wait()
-	best := -1
-	for i, revision := range revisions {
-		if revision >= 0 && (best < 0 || revision > revisions[best]) {
-			best = i
-		}
-	}
+	best := ChooseUpdateSource(candidates)
 	if best < 0 {
 		return "", false
 	}
 	return addresses[best], true
 }
+
+// updateCandidates returns the addresses of currentPeers random live hosts, some of them in
+// the data centre of this host if there are any.
+func (p *Peers) updateCandidates() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	random := p.members.RandomAlive(nil, p.members.Len(), "")
+	slices.SortStableFunc(random, func(a, b string) int {
+		return cmp.Compare(p.distance(a), p.distance(b))
+	})
+	local := 0
+	for local < len(random) && p.distance(random[local]) == 0 {
+		local++
+	}
+	return slices.Concat(random[:min(local, currentLocalPeers)], random[local:min(len(random), local+max(1, currentPeers-local))])
+}
+
+// distance returns 0 for a host of the data centre of this one, and 1 for others. The caller
+// must hold p.mu.
+func (p *Peers) distance(address string) int {
+	if p.dataCentres[address] == p.self.DataCentre {
+		return 0
+	}
+	return 1
+}
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -44,6 +44,9 @@
 	targets   map[string]*Entry
 	services  map[string][]*Entry
 	evacuated map[string]bool
+	// statements holds what targets said of themselves in their answers, by ID. They outlive
+	// the record of the target.
+	statements map[string]*statement
 	// lastOutage is the time of the latest outage in which a target became missing.
 	lastOutage time.Time
 }
@@ -112,7 +115,7 @@
 	if e == nil {
 		return false
 	}
-	if e.Leaving || outage.IsZero() || now.Sub(outage) > ReregistrationTimeout {
+	if c.Leaving(e) || outage.IsZero() || now.Sub(outage) > ReregistrationTimeout {
 		c.drop(id)
 		return true
 	}
@@ -124,8 +127,10 @@
 }
 
 // Expire drops the missing targets that did not register again within
-// ReregistrationTimeout of the outage, and appends their IDs to dst.
+// ReregistrationTimeout of the outage, and appends their IDs to dst. It also drops what
+// targets said long ago.
 func (c *Catalog) Expire(now time.Time, dst []string) []string {
+	c.expireStatements(now)
 	for id, e := range c.targets {
 		if e.missing && now.Sub(c.lastOutage) > ReregistrationTimeout {
 			c.drop(id)
@@ -177,6 +182,6 @@
 	return dst
 }
 
-// Usable reports whether new requests can be sent to the target: it is not leaving,
-// and its data centre is not evacuated.
-func (c *Catalog) Usable(e *Entry) bool { return !e.Leaving && !c.Evacuated(e.DataCentre) }
+// Usable reports whether new requests can be sent to the target while it is open: it is not
+// leaving, and its data centre is not evacuated.
+func (c *Catalog) Usable(e *Entry) bool { return !c.Leaving(e) && !c.Evacuated(e.DataCentre) }
--- a/internal/schema/fleet/fleet.gen.go
+++ b/internal/schema/fleet/fleet.gen.go
@@ -72,7 +72,8 @@
 	// Incarnation of the sender.
 	Incarnation string `json:"incarnation"`
 
-	// Kind of the message. A forward asks the receiver to probe another host.
+	// Kind of the message. A forward asks the receiver to probe another host; a
+	// notice is not answered.
 	Kind MessageKind `json:"kind"`
 
 	// Host states as observed by the sender.
@@ -86,6 +87,7 @@
 
 const MessageKindAnswer MessageKind = "answer"
 const MessageKindForward MessageKind = "forward"
+const MessageKindNotice MessageKind = "notice"
 const MessageKindProbe MessageKind = "probe"
 
 // An item of the platform's store as last read by a host.
@@ -108,9 +110,12 @@
 	// Time in milliseconds since the store last answered the replying host.
 	AgeMs int `json:"age-ms"`
 
-	// Items in order of their revisions.
+	// Items in order of their revisions; empty if they are in packed-items.
 	Items []StoreItem `json:"items"`
 
+	// The items in JSON
+	PackedItems *string `json:"packed-items,omitempty,omitzero"`
+
 	// Total rate at which hosts of the requesting host's data centre send parts to
 	// targets. Only the replying host and the hosts that request updates from it are
 	// counted.
--- a/internal/schema/relay/relay.gen.go
+++ b/internal/schema/relay/relay.gen.go
@@ -2,6 +2,18 @@
 
 package relay
 
+// A part with a good answer.
+type AnsweredPart struct {
+	// Index of the part in the targets of the request.
+	At int `json:"at"`
+
+	// Message authentication code of the target's answer.
+	Stamp string `json:"stamp"`
+
+	// Duration of the part in microseconds.
+	TookUs int `json:"took-us"`
+}
+
 // Cancels the parts of a request message.
 type Cancel struct {
 	// Number of the request message.
@@ -41,6 +53,9 @@
 	// Message authentication code of the target's answer.
 	Stamp *string `json:"stamp,omitempty,omitzero"`
 
+	// What the target said of itself; absent if it is not leaving and not closed.
+	Statement *TargetStatement `json:"statement,omitempty,omitzero"`
+
 	// HTTP status of the target's answer.
 	Status *int `json:"status,omitempty,omitzero"`
 
@@ -103,12 +118,27 @@
 
 // Results of some of the parts. The records of successful parts are merged.
 type Results struct {
+	// Parts with a good answer of a target that said nothing of itself.
+	Answered []AnsweredPart `json:"answered"`
+
 	// Number of the request message.
 	Number int `json:"number"`
 
-	// Results of the completed parts.
+	// Results of the other completed parts.
 	Parts []PartResult `json:"parts"`
 
 	// Highest-ranked records of the successful parts as raw bytes.
 	Records *string `json:"records,omitempty,omitzero"`
 }
+
+// What a target says of itself in an answer.
+type TargetStatement struct {
+	// Time in milliseconds for which the target wants no requests; 0 if it is open.
+	ClosedMs int `json:"closed-ms"`
+
+	// Incarnation of the target.
+	Incarnation int `json:"incarnation"`
+
+	// Whether the target is leaving and accepts no new requests.
+	Leaving bool `json:"leaving"`
+}
--- a/internal/schema/relay/relay.msgp.gen.go
+++ b/internal/schema/relay/relay.msgp.gen.go
@@ -12,6 +12,54 @@
 	z3751747elimitMaps   = 1024
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z AnsweredPart) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt(o, z.At)
+	o = msgp.AppendString(o, z.Stamp)
+	o = msgp.AppendInt(o, z.TookUs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AnsweredPart) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.At, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "At")
+		return
+	}
+	z.Stamp, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Stamp")
+		return
+	}
+	z.TookUs, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "TookUs")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z AnsweredPart) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.StringPrefixSize + len(z.Stamp) + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Cancel) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -51,8 +99,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PartResult) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendInt(o, z.At)
 	if z.Local == nil {
 		o = msgp.AppendNil(o)
@@ -80,6 +128,15 @@
 	} else {
 		o = msgp.AppendString(o, *z.Stamp)
 	}
+	if z.Statement == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendInt(o, z.Statement.ClosedMs)
+		o = msgp.AppendInt(o, z.Statement.Incarnation)
+		o = msgp.AppendBool(o, z.Statement.Leaving)
+	}
 	if z.Status == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -97,8 +154,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.At, bts, err = msgp.ReadIntBytes(bts)
@@ -195,6 +252,42 @@
 			return
 		}
 	}
+	if msgp.IsNil(bts) {
+		bts, err = msgp.ReadNilBytes(bts)
+		if err != nil {
+			return
+		}
+		z.Statement = nil
+	} else {
+		if z.Statement == nil {
+			z.Statement = new(TargetStatement)
+		}
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Statement")
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Statement.ClosedMs, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Statement", "ClosedMs")
+			return
+		}
+		z.Statement.Incarnation, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Statement", "Incarnation")
+			return
+		}
+		z.Statement.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Statement", "Leaving")
+			return
+		}
+	}
 	if msgp.IsNil(bts) {
 		bts, err = msgp.ReadNilBytes(bts)
 		if err != nil {
@@ -249,6 +342,11 @@
 	} else {
 		s += msgp.StringPrefixSize + len(*z.Stamp)
 	}
+	if z.Statement == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + msgp.IntSize + msgp.IntSize + msgp.BoolSize
+	}
 	if z.Status == nil {
 		s += msgp.NilSize
 	} else {
@@ -583,14 +681,22 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Results) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Answered)))
+	for za0001 := range z.Answered {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendInt(o, z.Answered[za0001].At)
+		o = msgp.AppendString(o, z.Answered[za0001].Stamp)
+		o = msgp.AppendInt(o, z.Answered[za0001].TookUs)
+	}
 	o = msgp.AppendInt(o, z.Number)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
-	for za0001 := range z.Parts {
-		o, err = z.Parts[za0001].MarshalMsg(o)
+	for za0002 := range z.Parts {
+		o, err = z.Parts[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Parts", za0001)
+			err = msgp.WrapError(err, "Parts", za0002)
 			return
 		}
 	}
@@ -610,34 +716,76 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Answered")
 		return
 	}
+	if zb0002 > z3751747elimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Answered) >= int(zb0002) {
+		z.Answered = (z.Answered)[:zb0002]
+	} else {
+		z.Answered = make([]AnsweredPart, zb0002)
+	}
+	for za0001 := range z.Answered {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Answered", za0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Answered[za0001].At, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Answered", za0001, "At")
+			return
+		}
+		z.Answered[za0001].Stamp, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Answered", za0001, "Stamp")
+			return
+		}
+		z.Answered[za0001].TookUs, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Answered", za0001, "TookUs")
+			return
+		}
+	}
 	z.Number, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Number")
 		return
 	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Parts")
 		return
 	}
-	if zb0002 > z3751747elimitArrays {
+	if zb0004 > z3751747elimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Parts) >= int(zb0002) {
-		z.Parts = (z.Parts)[:zb0002]
+	if cap(z.Parts) >= int(zb0004) {
+		z.Parts = (z.Parts)[:zb0004]
 	} else {
-		z.Parts = make([]PartResult, zb0002)
+		z.Parts = make([]PartResult, zb0004)
 	}
-	for za0001 := range z.Parts {
-		bts, err = z.Parts[za0001].UnmarshalMsg(bts)
+	for za0002 := range z.Parts {
+		bts, err = z.Parts[za0002].UnmarshalMsg(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Parts", za0001)
+			err = msgp.WrapError(err, "Parts", za0002)
 			return
 		}
 	}
@@ -663,9 +811,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Results) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.ArrayHeaderSize
-	for za0001 := range z.Parts {
-		s += z.Parts[za0001].Msgsize()
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Answered {
+		s += 1 + msgp.IntSize + msgp.StringPrefixSize + len(z.Answered[za0001].Stamp) + msgp.IntSize
+	}
+	s += msgp.IntSize + msgp.ArrayHeaderSize
+	for za0002 := range z.Parts {
+		s += z.Parts[za0002].Msgsize()
 	}
 	if z.Records == nil {
 		s += msgp.NilSize
@@ -674,3 +826,51 @@
 	}
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z TargetStatement) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt(o, z.ClosedMs)
+	o = msgp.AppendInt(o, z.Incarnation)
+	o = msgp.AppendBool(o, z.Leaving)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TargetStatement) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.ClosedMs, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ClosedMs")
+		return
+	}
+	z.Incarnation, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z TargetStatement) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.BoolSize
+	return
+}
--- a/internal/schema/relay/tuple.go
+++ b/internal/schema/relay/tuple.go
@@ -3,7 +3,7 @@
 // names.
 package relay
 
-//msgp:tuple Request Results PartResult Cancel
+//msgp:tuple Request Results AnsweredPart PartResult TargetStatement Cancel
 //msgp:ignore Definitions
 
 //msgp:limit arrays:8192 maps:1024
--- a/internal/schema/schema.go
+++ b/internal/schema/schema.go
@@ -16,6 +16,7 @@
 //go:generate go run github.com/atombender/go-jsonschema@v0.24.1 --only-models --struct-name-from-title --tags json --capitalization ID -p relay -o relay/relay.gen.go relay/relay.yaml
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file peer -o peer/peer.msgp.gen.go -tests=false -marshal=true -io=false
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -file fleet -o fleet/fleet.msgp.gen.go -tests=false -marshal=true -io=false
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file relay -o relay/relay.msgp.gen.go -tests=false -marshal=true -io=false
 
 // Tree is the schema of the settings of a deployment.
--- a/internal/serving/dispatch/queue.go
+++ b/internal/serving/dispatch/queue.go
@@ -105,6 +105,16 @@
 	return true
 }
 
+// RemoveAll removes the requests that wait and returns their values.
+func (q *Queue[T]) RemoveAll() []T {
+	values := make([]T, 0, len(q.waiting))
+	for _, w := range q.waiting {
+		values = append(values, w.value)
+	}
+	q.waiting = q.waiting[:0]
+	return values
+}
+
 // Leave ends a request in flight that took a fraction of its time at the target, and adjusts
 // the limit. A request that was not answered counts only if its time was nearly over: other
 // failures say nothing about the load of the target.
--- a/internal/serving/exchange/answer_test.go
+++ b/internal/serving/exchange/answer_test.go
@@ -117,3 +117,18 @@
 		})
 	}
 }
+
+// TestAnswerCutInItsHeadIsNoAnswer closes the connection after each byte of the head of an
+// answer. The start of a head is no answer, whatever it says.
+func TestAnswerCutInItsHeadIsNoAnswer(t *testing.T) {
+	for _, length := range []string{"Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close\r\n", ""} {
+		head := "HTTP/1.1 200 OK\r\nId: ID\r\nStamp: s\r\n" + length + "\r\n"
+		for n := range len(head) {
+			target := startTarget(t, cutMark+head[:n])
+			r := newPool().Do(t.Context(), target.target(), newRequest("a"), oneSecond)
+			assert.Equal(t, search.Unknown, r.Outcome, "head cut after %q", head[:n])
+			assert.Empty(t, r.Body)
+			assert.Zero(t, r.Status)
+		}
+	}
+}
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -14,6 +14,8 @@
 type Target struct {
 	ID      string
 	Address string
+	// Incarnation distinguishes the starts of the target under the same ID.
+	Incarnation int64
 	// Remote reports that the target is in another data centre.
 	Remote bool
 }
@@ -84,10 +86,26 @@
 	LocalFailure bool
 	// TimedOut is set if no answer was received in time.
 	TimedOut bool
+	// Statement is what the target says of itself in the answer.
+	Statement Statement
 	// Err is the connection error, if there was one.
 	Err error
 }
 
+// Statement is what a target says of itself in an answer. The zero value says nothing.
+type Statement struct {
+	// Incarnation is the one of the target to which the request was sent.
+	Incarnation int64
+	// Leaving is set if the target is leaving and accepts no new requests.
+	Leaving bool
+	// ClosedFor is the time for which the target wants no requests from this host; 0 if it
+	// is open.
+	ClosedFor time.Duration
+}
+
+// Limits reports whether the target wants no requests now.
+func (s Statement) Limits() bool { return s.Leaving || s.ClosedFor > 0 }
+
 // Protocol defines the header fields that are exchanged with targets.
 type Protocol interface {
 	// SetRequestHeader sets the header fields of a request that are specific to the target.
@@ -103,6 +121,7 @@
 // Values of Reply.Reason.
 const (
 	reasonTargetBusy       = "target-busy"
+	reasonTargetClosed     = "target-closed"
 	reasonConnectRefused   = "connect-refused"
 	reasonConnectReset     = "connect-reset"
 	reasonConnectTimeout   = "connect-timeout"
--- a/internal/serving/exchange/pool.go
+++ b/internal/serving/exchange/pool.go
@@ -76,7 +76,7 @@
 	idle    []*conn
 	open    int
 	maxOpen int
-	queue   dispatch.Queue[chan struct{}]
+	queue   dispatch.Queue[chan bool]
 }
 
 // Reset initialises an empty pool. The bytes of requests and answers are counted in meter.
@@ -231,8 +231,8 @@
 // to wait is not sent if its time passes meanwhile. When ctx ends, the connection is
 // closed, so that the target can stop processing.
 func (p *Pool) Do(ctx context.Context, t Target, req *Request, left func() time.Duration) Reply {
-	if !p.enter(ctx, t.ID, left()) {
-		return Reply{Outcome: search.NotSent, Reason: reasonTargetBusy, LocalFailure: true, Err: ctx.Err()}
+	if reason := p.enter(ctx, t.ID, left()); reason != "" {
+		return Reply{Outcome: search.NotSent, Reason: reason, LocalFailure: true, Err: ctx.Err()}
 	}
 	r, fraction := p.send(ctx, t, req, left)
 	p.leave(t.ID, &r, fraction)
@@ -282,6 +282,7 @@
 	}
 	c.updateReuse(r.Header)
 	p.protocol.ParseReplyHeader(r.Header, &r)
+	r.Statement.Incarnation = t.Incarnation
 	return r
 }
 
--- a/internal/serving/exchange/pool_test.go
+++ b/internal/serving/exchange/pool_test.go
@@ -48,8 +48,11 @@
 	closed   atomic.Int64
 }
 
+// cutMark is the prefix of an answer after which the connection is closed.
+const cutMark = "cut:"
+
 // startTarget starts a target. The answer "" closes the connection, "RST" resets it, and
-// "..." leaves the request unanswered.
+// "..." leaves the request unanswered, and cutMark closes the connection after the rest.
 func startTarget(t *testing.T, answers ...string) *testTarget {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -91,7 +94,12 @@
 		case "...":
 			continue
 		}
+		answer, cut := strings.CutPrefix(answer, cutMark)
 		_, _ = io.WriteString(c, strings.ReplaceAll(answer, "ID", r.Header.Get("Id")))
+		if cut {
+			_ = c.Close()
+			return
+		}
 	}
 }
 
--- a/internal/serving/gateway/answer.go
+++ b/internal/serving/gateway/answer.go
@@ -2,11 +2,12 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
 	"strings"
 	"time"
 
 	"fescuerill/internal/invariant"
-	"fescuerill/internal/serving/replicas"
 	"fescuerill/internal/serving/search"
 )
 
@@ -62,19 +63,42 @@
 func (r *activeRequest) refusalAnswer() Answer {
 	g := r.g
 	g.mu.Lock()
-	now := time.Now()
-	wait := minRetryAfter
+	wait := r.untilServable(time.Now())
+	jitter := time.Duration(g.random.Int64N(int64(minRetryAfter + wait/retryAfterSpread)))
+	g.mu.Unlock()
+	g.stats.Add("refused-no-target", 1)
+	return Answer{Kind: Refused, Reason: "no-target", RetryAfter: wait + jitter}
+}
+
+// untilServable returns the time until enough services of the request are expected to have a
+// target that can be used. The gateway is locked.
+func (r *activeRequest) untilServable(now time.Time) time.Duration {
+	waits := make([]time.Duration, 0, len(r.chooser.services))
 	for _, service := range r.chooser.services {
-		var candidates []replicas.Candidate
-		for _, e := range g.catalog.Service(service) {
-			candidates = append(candidates, replicas.Candidate{ID: e.ID})
+		waits = append(waits, r.g.untilUsable(now, service))
+	}
+	slices.Sort(waits)
+	return max(minRetryAfter, waits[min(r.plan.MinParts, len(waits))-1])
+}
+
+// untilUsable returns the time until a target of a service is expected to be usable, at most
+// maxRetryAfter unless all targets are closed for longer. The gateway is locked.
+func (g *Gateway) untilUsable(now time.Time, service string) time.Duration {
+	earliest := time.Duration(math.MaxInt64)
+	for _, e := range g.catalog.Service(service) {
+		if !g.catalog.Usable(e) {
+			continue
+		}
+		wait := g.catalog.ClosedFor(now, e)
+		if wait == 0 {
+			wait = min(maxRetryAfter, g.tracker.Replica(e.ID).EjectionLeft(now))
 		}
-		wait = max(wait, g.tracker.MinEjectionLeft(now, candidates))
+		earliest = min(earliest, wait)
 	}
-	jitter := time.Duration(g.random.Int64N(int64(minRetryAfter)))
-	g.mu.Unlock()
-	g.stats.Add("refused-no-target", 1)
-	return Answer{Kind: Refused, Reason: "no-target", RetryAfter: min(maxRetryAfter, wait) + jitter}
+	if earliest == math.MaxInt64 {
+		return maxRetryAfter
+	}
+	return earliest
 }
 
 // loggedAttempt is an attempt and its outcome, as logged for a request.
--- a/internal/serving/gateway/bounds.go
+++ b/internal/serving/gateway/bounds.go
@@ -39,6 +39,9 @@
 	// retry.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = time.Second
+	// retryAfterSpread is the divisor of the time that a refused caller is told to wait by
+	// which that time is spread, so that callers do not return together.
+	retryAfterSpread = 4
 	// minTimeToShutdown is the time before its shutdown from which a host refuses
 	// requests; if the latency target of the route is longer, that applies.
 	minTimeToShutdown = 250 * time.Millisecond
--- a/internal/serving/gateway/chooser.go
+++ b/internal/serving/gateway/chooser.go
@@ -45,7 +45,7 @@
 	candidates := make([]replicas.Candidate, 0, len(entries))
 	anyWarm := false
 	for _, e := range entries {
-		if !g.catalog.Usable(e) {
+		if !g.catalog.Usable(e) || g.catalog.ClosedFor(c.now, e) > 0 {
 			continue
 		}
 		cold := c.now.Before(e.ColdUntil)
--- a/internal/serving/gateway/gauges.go
+++ b/internal/serving/gateway/gauges.go
@@ -15,9 +15,10 @@
 	stateEjected
 	stateLeaving
 	stateEvacuated
+	stateClosed
 )
 
-var targetStateNames = [...]string{"usable", "cold", "resting", "leaving", "out"}
+var targetStateNames = [...]string{"usable", "cold", "resting", "leaving", "out", "closed"}
 
 // String returns the name of the state.
 func (s targetState) String() string { return targetStateNames[s] }
@@ -25,10 +26,12 @@
 // stateOf returns the state of a target. The gateway is locked.
 func (g *Gateway) stateOf(now time.Time, e *catalog.Entry) targetState {
 	switch {
-	case e.Leaving:
+	case g.catalog.Leaving(e):
 		return stateLeaving
 	case g.catalog.Evacuated(e.DataCentre):
 		return stateEvacuated
+	case g.catalog.ClosedFor(now, e) > 0:
+		return stateClosed
 	case now.Before(e.ColdUntil):
 		return stateCold
 	case g.tracker.Replica(e.ID).Ejected(now):
--- a/internal/serving/gateway/relay.go
+++ b/internal/serving/gateway/relay.go
@@ -117,6 +117,7 @@
 	for _, part := range received.Parts {
 		ra.done[part.Index] = true
 		result := attemptResult{attempt: ra.attempts[part.Index], reply: part.Reply, latency: part.Elapsed}
+		r.g.heed(now, result.attempt.Target, part.Reply.Statement)
 		if result.reply.Outcome == search.Good {
 			// The merged records stand for all parts; the first good one carries them.
 			result.reply.Body, records = records, nil
@@ -176,24 +177,30 @@
 func (g *Gateway) Forward(ctx context.Context, target string, req *exchange.Request, timeLeft func() time.Duration) exchange.Reply {
 	e := g.forwardTarget(target)
 	if e == nil {
-		return exchange.Reply{Outcome: search.NotSent, Reason: reasonUnusable, LocalFailure: true}
+		return exchange.Reply{Outcome: search.NotSent, Reason: reasonUnusable, LocalFailure: true, Statement: g.statementOf(target)}
 	}
 	g.stats.Add("relay-forwarded", 1)
 	g.partsSent.Add(1)
-	return g.pool.Do(ctx, g.address(e), req, func() time.Duration {
+	t := g.address(e)
+	reply := g.pool.Do(ctx, t, req, func() time.Duration {
 		if g.forwardTarget(target) == nil {
 			return 0
 		}
 		return timeLeft()
 	})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.heed(time.Now(), target, reply.Statement)
+	return reply
 }
 
 // forwardTarget returns the target if parts of other hosts can be sent to it, or nil.
 func (g *Gateway) forwardTarget(id string) *catalog.Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	e := g.usableTarget(id)
-	if e == nil || g.rateLimited(time.Now(), e) {
+	now := time.Now()
+	e := g.usableTarget(now, id)
+	if e == nil || g.rateLimited(now, e) {
 		return nil
 	}
 	return e
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -189,6 +189,7 @@
 	now := time.Now()
 	result := r.replicaResult(reply, now)
 	g.mu.Lock()
+	g.heed(now, t.ID, reply.Statement)
 	latency := g.tracker.End(now, a.Target, token, result, r.typical)
 	g.mu.Unlock()
 	r.recordResult(now, a, &reply, latency)
@@ -214,7 +215,7 @@
 func (r *activeRequest) timeLeft(target string, chosenAt time.Time) time.Duration {
 	now := time.Now()
 	r.g.mu.Lock()
-	e := r.g.usableTarget(target)
+	e := r.g.usableTarget(now, target)
 	allowed := e != nil && (!r.g.rateLimited(now, e) || r.g.coldStarts.PermissionValid(now, chosenAt))
 	r.g.mu.Unlock()
 	if !allowed {
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -153,14 +153,14 @@
 
 // address returns where requests to a target are sent.
 func (g *Gateway) address(e *catalog.Entry) exchange.Target {
-	return exchange.Target{ID: e.ID, Address: e.Address, Remote: e.DataCentre != g.dataCentre}
+	return exchange.Target{ID: e.ID, Address: e.Address, Incarnation: e.Incarnation, Remote: e.DataCentre != g.dataCentre}
 }
 
-// usableTarget returns the target if new requests can be sent to it, or nil. The gateway is
-// locked.
-func (g *Gateway) usableTarget(id string) *catalog.Entry {
+// usableTarget returns the target if new requests can be sent to it now, or nil. The gateway
+// is locked.
+func (g *Gateway) usableTarget(now time.Time, id string) *catalog.Entry {
 	e := g.catalog.Get(id)
-	if e == nil || !g.catalog.Usable(e) {
+	if e == nil || !g.catalog.Usable(e) || g.catalog.ClosedFor(now, e) > 0 {
 		return nil
 	}
 	return e
--- a/internal/serving/relay/message.go
+++ b/internal/serving/relay/message.go
@@ -12,7 +12,7 @@
 // Kinds of messages between hosts.
 const (
 	kindRequest frame.Kind = 'q'
-	kindResults frame.Kind = 'r'
+	kindResults frame.Kind = 's'
 	kindCancel  frame.Kind = 'c'
 )
 
@@ -83,7 +83,7 @@
 
 // decodeRequest converts a message to a request; now is when the message was received.
 func decodeRequest(now time.Time, m wire.Request) Request {
-	at := func(us int) time.Time { return now.Add(time.Duration(us) * time.Microsecond) }
+	at := func(us int) time.Time { return now.Add(microseconds(us)) }
 	req := Request{
 		CallerRequest: &exchange.Request{ID: m.ID, Method: m.Method, URI: m.Uri, Host: m.Host, Header: map[string][]string(m.Header)},
 		Targets:       m.Targets, MaxRecords: m.Top, FlushTime: at(m.FlushUs), Deadline: at(m.EndUs),
@@ -97,16 +97,25 @@
 	return req
 }
 
+func microseconds(us int) time.Duration { return time.Duration(us) * time.Microsecond }
+
 // encodeResults converts results to a message. It leaves out the bodies of the parts.
 func encodeResults(number int, results Results) wire.Results {
-	m := wire.Results{Number: number, Parts: make([]wire.PartResult, 0, len(results.Parts))}
+	m := wire.Results{Number: number, Answered: []wire.AnsweredPart{}, Parts: []wire.PartResult{}}
 	for _, p := range results.Parts {
+		if p.Reply.Outcome == search.Good && !p.Reply.Statement.Limits() {
+			m.Answered = append(m.Answered, wire.AnsweredPart{At: p.Index, Stamp: p.Reply.MAC, TookUs: int(p.Elapsed.Microseconds())})
+			continue
+		}
 		part := wire.PartResult{At: p.Index, Outcome: wireOutcomes[p.Reply.Outcome], TookUs: int(p.Elapsed.Microseconds())}
 		setIfNotEmpty(&part.Reason, p.Reply.Reason)
 		setIfNotEmpty(&part.Stamp, p.Reply.MAC)
 		setIfTrue(&part.Moved, p.Reply.TargetMoved)
 		setIfTrue(&part.Silent, p.Reply.TimedOut)
 		setIfTrue(&part.Local, p.Reply.LocalFailure)
+		if s := p.Reply.Statement; s.Limits() {
+			part.Statement = encodeStatement(s)
+		}
 		if p.Reply.Outcome != search.Good && p.Reply.Status != 0 {
 			part.Status = &p.Reply.Status
 		}
@@ -116,6 +125,19 @@
 	return m
 }
 
+func encodeStatement(s exchange.Statement) *wire.TargetStatement {
+	return &wire.TargetStatement{Incarnation: int(s.Incarnation), Leaving: s.Leaving, ClosedMs: int(s.ClosedFor.Milliseconds())}
+}
+
+func decodeStatement(m *wire.TargetStatement) exchange.Statement {
+	if m == nil {
+		return exchange.Statement{}
+	}
+	return exchange.Statement{
+		Incarnation: int64(m.Incarnation), Leaving: m.Leaving, ClosedFor: time.Duration(m.ClosedMs) * time.Millisecond,
+	}
+}
+
 // setIfNotEmpty sets an optional text of a message unless it is empty.
 func setIfNotEmpty(dst **string, s string) {
 	if s != "" {
@@ -142,13 +164,17 @@
 // decodeResults converts a message to results.
 func decodeResults(m wire.Results) Results {
 	var results Results
+	for _, p := range m.Answered {
+		r := exchange.Reply{Outcome: search.Good, MAC: p.Stamp}
+		results.Parts = append(results.Parts, PartResult{Index: p.At, Reply: r, Elapsed: microseconds(p.TookUs)})
+	}
 	for _, p := range m.Parts {
 		r := exchange.Reply{
 			Outcome: decodeOutcome(p.Outcome), Reason: valueOrZero(p.Reason), MAC: valueOrZero(p.Stamp), Status: valueOrZero(p.Status),
-			TargetMoved: valueOrZero(p.Moved), TimedOut: valueOrZero(p.Silent), LocalFailure: valueOrZero(p.Local),
+			Statement: decodeStatement(p.Statement), TargetMoved: valueOrZero(p.Moved), TimedOut: valueOrZero(p.Silent), LocalFailure: valueOrZero(p.Local),
 		}
 		r.Shed = r.Outcome == search.NotRun && !r.TargetMoved
-		results.Parts = append(results.Parts, PartResult{Index: p.At, Reply: r, Elapsed: time.Duration(p.TookUs) * time.Microsecond})
+		results.Parts = append(results.Parts, PartResult{Index: p.At, Reply: r, Elapsed: microseconds(p.TookUs)})
 	}
 	results.TopRecords = []byte(valueOrZero(m.Records))
 	return results
--- a/internal/serving/replicas/replica.go
+++ b/internal/serving/replicas/replica.go
@@ -72,7 +72,10 @@
 	// responds resets it to 0.
 	ejection     time.Duration
 	ejectedUntil time.Time
-	inFlight     []inFlightRequest
+	// closed reports that the replica asked to be ejected until then. Answers to requests in
+	// flight do not end such an ejection.
+	closed   bool
+	inFlight []inFlightRequest
 	// probing reports that a request sent after the end of the ejection is in flight.
 	probing  bool
 	lastUsed time.Time
@@ -164,6 +167,24 @@
 	return 0
 }
 
+// closeUntil ejects the replica until a time, as it has asked for. The replica is probed by
+// one request at a time afterwards, so that it is not hit at once by all that waited.
+func (r *Replica) closeUntil(until time.Time) {
+	if until.After(r.ejectedUntil) {
+		r.ejectedUntil = until
+	}
+	r.ejection, r.closed = max(r.ejection, minShedEjection), true
+}
+
+// endEjection ends the ejection of a replica that has answered, unless the replica asked
+// for it and its time is not over.
+func (r *Replica) endEjection(now time.Time) {
+	if r.closed && now.Before(r.ejectedUntil) {
+		return
+	}
+	r.ejection, r.closed = 0, false
+}
+
 // recordResult updates the observed state with the result and latency of a request.
 func (r *Replica) recordResult(now time.Time, result Result, typical, latency time.Duration) {
 	r.probing = false
@@ -172,7 +193,7 @@
 		r.recordSlowdown(now, float64(latency)/float64(max(typical, time.Millisecond)))
 		r.failureRate = r.FailureRate(now) * (1 - failureWeight)
 		r.failureRateAt = now
-		r.ejection = 0
+		r.endEjection(now)
 	case Shed:
 		r.failureRate = r.FailureRate(now)*(1-failureWeight) + failureWeight
 		r.failureRateAt = now
@@ -180,10 +201,10 @@
 	case Failed:
 		r.failureRate = r.FailureRate(now)*(1-failureWeight) + failureWeight
 		r.failureRateAt = now
-		r.ejection = 0
+		r.endEjection(now)
 	case DeadlineExceeded:
 		r.recordSlowdown(now, max(r.Slowdown(now), float64(latency)/float64(max(typical, time.Millisecond))))
-		r.ejection = 0
+		r.endEjection(now)
 	case Unreachable:
 		r.failureRate = r.FailureRate(now)*(1-failureWeight) + failureWeight
 		r.failureRateAt = now
--- a/internal/serving/replicas/tracker.go
+++ b/internal/serving/replicas/tracker.go
@@ -64,6 +64,9 @@
 	return r
 }
 
+// CloseUntil ejects a replica until a time, as it has asked for.
+func (t *Tracker) CloseUntil(id string, until time.Time) { t.Replica(id).closeUntil(until) }
+
 // Forget drops the state of a replica.
 func (t *Tracker) Forget(id string) { delete(t.replicas, id) }
 
@@ -106,16 +109,6 @@
 	return cost
 }
 
-// MinEjectionLeft returns the shortest remaining ejection among the candidates, or
-// maxEjection if there are none.
-func (t *Tracker) MinEjectionLeft(now time.Time, candidates []Candidate) time.Duration {
-	shortest := maxEjection
-	for _, c := range candidates {
-		shortest = min(shortest, t.Replica(c.ID).EjectionLeft(now))
-	}
-	return shortest
-}
-
 // Begin records that a request is sent to a replica and returns a token for End; typical
 // is the typical latency of such requests.
 func (t *Tracker) Begin(now time.Time, id string, typical time.Duration) uint64 {
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -242,10 +242,10 @@
 // until the callers that have the address use other hosts, and it completes the requests in
 // flight. It returns early if ctx ends.
 func (s *Server) Stop(ctx context.Context) {
-	start := time.Now()
+	start, active := time.Now(), s.active.Load().selfActive
 	s.stopping.Store(true)
 	s.log.Info("stopping", "grace-ms", s.settings.GracePeriod.Milliseconds(), "running", s.gateway.InFlight())
-	s.peers.Leave()
+	s.peers.Leave(active)
 	addressesExpired := start.Add(addressTTLFactor*s.addressTTL() + drainQuietTime/2)
 	deadline := start.Add(max(stopMargin, s.settings.GracePeriod-stopMargin))
 	s.gateway.SetShutdownDeadline(deadline)
