--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"text/tabwriter"
@@ -49,14 +50,18 @@
 }
 
 func newSummary() *cobra.Command {
-	return &cobra.Command{
+	traffic := false
+	c := &cobra.Command{
 		Use:   "summary FILE...",
 		Short: "Show from the logs of hosts what requests lost, and for which causes",
 		Long: `Show from the logs of hosts what requests lost, and for which causes.
 
 Each row counts the requests with one latency target (aim-ms) and one cause. The
 loss of a request is 1 if it got no answer within its latency target, and 1 minus
-the square of the share of shards in the answer otherwise.`,
+the square of the share of shards in the answer otherwise.
+
+With --traffic, show instead the bytes by kind of message and the calls to the
+store, summed over the hosts, and of the host with the most.`,
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			logs, closeLogs, err := openLogs(args)
@@ -64,6 +69,9 @@
 			if err != nil {
 				return err
 			}
+			if traffic {
+				return printTraffic(c.OutOrStdout(), logs)
+			}
 			rows, err := explain.Summarise(logs)
 			if err != nil {
 				return err
@@ -76,6 +84,22 @@
 			return errors.Wrap(w.Flush(), "write summary")
 		},
 	}
+	c.Flags().BoolVar(&traffic, "traffic", false, "show bytes by kind of message and calls to the store")
+	return c
+}
+
+// printTraffic writes the traffic in the logs.
+func printTraffic(out io.Writer, logs []explain.Log) error {
+	counts, err := explain.SumTraffic(logs)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "all-hosts\tbusiest-host\tcount\t")
+	for _, c := range counts {
+		fmt.Fprintf(w, "%d\t%d\t%s\t\n", c.Total, c.Most, c.Name)
+	}
+	return errors.Wrap(w.Flush(), "write traffic")
 }
 
 // openLogs opens log files. The returned function closes them.
--- a/internal/observe/traffic/meter.go
+++ b/internal/observe/traffic/meter.go
@@ -51,11 +51,31 @@
 	return Remote
 }
 
-// Meter counts bytes, without the headers of TCP, UDP and IP. The zero value and a nil
+// Call is a kind of call to the store.
+type Call int
+
+// Kinds of calls to the store.
+const (
+	// List reads a page of all items, and ListStale one of items that may be seconds old.
+	List Call = iota
+	ListStale
+	// Watch waits for changes.
+	Watch
+	// Lease creates a lease, Renew renews one, and Write writes items.
+	Lease
+	Renew
+	Write
+	calls
+)
+
+var callNames = [calls]string{"list", "list-stale", "watch", "lease", "renew", "write"}
+
+// Meter counts calls to the store and bytes, the latter without the headers of TCP, UDP and IP. The zero value and a nil
 // pointer are ready to use; a nil pointer counts nothing. Its methods are safe for
 // concurrent use.
 type Meter struct {
 	sent, received [kinds][scopes]atomic.Int64
+	storeCalls     [calls]atomic.Int64
 }
 
 // Sent counts n bytes that were sent.
@@ -72,9 +92,16 @@
 	}
 }
 
-// Each calls f for each count that is not zero, with a name such as
-// bytes-sent-relay-remote.
-func (m *Meter) Each(f func(name string, bytes int64)) {
+// CountCall counts a call to the store.
+func (m *Meter) CountCall(c Call) {
+	if m != nil {
+		m.storeCalls[c].Add(1)
+	}
+}
+
+// Each calls f for each count that is not zero, with a name such as bytes-sent-relay-remote
+// or store-calls-watch.
+func (m *Meter) Each(f func(name string, count int64)) {
 	if m == nil {
 		return
 	}
@@ -89,6 +116,11 @@
 			}
 		}
 	}
+	for c := range calls {
+		if n := m.storeCalls[c].Load(); n != 0 {
+			f("store-calls-"+callNames[c], n)
+		}
+	}
 }
 
 // Conn returns a connection on top of c whose bytes are counted.
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -287,7 +287,7 @@
 		s.stats.SetGauge("hosts-live", live)
 		s.stats.SetGauge("requests-running", s.gateway.InFlight())
 		s.stats.SetGauge("invariant-violations", int(invariant.Violations()))
-		s.meter.Each(func(name string, bytes int64) { fmt.Fprintf(w, "%s %d\n", name, bytes) })
+		s.meter.Each(func(name string, count int64) { fmt.Fprintf(w, "%s %d\n", name, count) })
 		s.stats.Each(func(name string, value int64) { fmt.Fprintf(w, "%s %d\n", name, value) })
 	})
 }
--- a/internal/serving/server/traffic.go
+++ b/internal/serving/server/traffic.go
@@ -25,6 +25,6 @@
 
 func (s *Server) logTraffic() {
 	var counts []slog.Attr
-	s.meter.Each(func(name string, bytes int64) { counts = append(counts, slog.Int64(name, bytes)) })
+	s.meter.Each(func(name string, count int64) { counts = append(counts, slog.Int64(name, count)) })
 	s.log.LogAttrs(context.Background(), slog.LevelInfo, "traffic", counts...)
 }
