Leave the store to the designated reader in an outage and after a compaction

In an outage each host called the store each second.

A reader goes on serving what it knows while it lists. A follower whose reader is alive, but as far behind, calls the store once and then each 4 s. TestHostsWithReaderMakeNoCallsAfterCompaction and TestStoreIsLeftToReaderInOutage fail before.

--- a/internal/fleet/feed/cursor.go
+++ b/internal/fleet/feed/cursor.go
@@ -20,7 +20,8 @@
 	// load for the store.
 	startRetryDelay = 150 * time.Millisecond
 	// refusedRetryDelay is the delay after a failed call of a host that gets current updates
-	// from other hosts: the store serves them and refuses this one only.
+	// from other hosts, as the store serves them and refuses this one only, or whose reader
+	// is alive and calls the store itself: if all hosts did, it would return to a crowd.
 	refusedRetryDelay = 4 * time.Second
 	// outageThreshold is the number of consecutive failed calls from which the
 	// store is considered down.
@@ -52,8 +53,10 @@
 // host instead. The zero value is that of a host that has read nothing. It is not safe
 // for concurrent use.
 type Cursor struct {
-	revision   int64
-	listed     bool
+	revision int64
+	listed   bool
+	// compacted is set while all items must be listed again because changes were lost.
+	compacted  bool
 	failures   int
 	askedPeer  bool
 	nextCall   time.Time
@@ -66,6 +69,10 @@
 	// current updates from other hosts, and currentUpdateAt when it got the last one.
 	storeRetryAt    time.Time
 	currentUpdateAt time.Time
+	// hasReader is set if the updates of other hosts come from the designated reader, and
+	// peerRepliedAt is when the last one came, however old its content was.
+	hasReader     bool
+	peerRepliedAt time.Time
 	// returnEnd is the end of the period after an outage of the store in which changes are
 	// requested at returnInterval.
 	returnEnd time.Time
@@ -75,7 +82,7 @@
 func (c *Cursor) Revision() int64 { return c.revision }
 
 // Listed reports whether a full list of the items has been read, from the store or
-// from another host, and the changes since then are available.
+// from another host.
 func (c *Cursor) Listed() bool { return c.listed }
 
 // LastReply returns when the store last answered this host or, if that was later, a
@@ -96,7 +103,7 @@
 }
 
 // Reachable reports whether the store answered the last call.
-func (c *Cursor) Reachable() bool { return c.failures == 0 && c.listed }
+func (c *Cursor) Reachable() bool { return c.failures == 0 && c.listed && !c.compacted }
 
 // Next returns the action that is due now, or None and the time of the next call.
 // hasReader is set if another host reads the store on behalf of this one, hasPeers if an
@@ -105,13 +112,14 @@
 	if now.Before(c.nextCall) {
 		return None, c.nextCall
 	}
-	if c.failures > 0 && hasPeers && (!c.askedPeer || c.refusedAlone(now)) {
+	c.hasReader = hasReader
+	if c.failures > 0 && hasPeers && (!c.askedPeer || c.leavesStoreToOthers(now)) {
 		c.askedPeer = true
 		return Fetch, now
 	}
 	c.askedPeer = false
 	switch {
-	case !c.listed:
+	case !c.listed || c.compacted:
 		return List, now
 	case hasReader && c.failures == 0 && now.After(c.peerBackoffEnd):
 		return Fetch, now
@@ -119,17 +127,22 @@
 	return Watch, now
 }
 
-// refusedAlone reports whether the store refuses this host while other hosts reach it, and
-// the next call to it is not due yet.
-func (c *Cursor) refusedAlone(now time.Time) bool {
-	return c.listed && now.Before(c.storeRetryAt) && now.Sub(c.currentUpdateAt) < maxUpdateAge
+// leavesStoreToOthers reports whether other hosts reach the store, which refuses this one, or
+// the reader of this host calls it, and the next call of this host is not due yet.
+func (c *Cursor) leavesStoreToOthers(now time.Time) bool {
+	return c.listed && now.Before(c.storeRetryAt) && (now.Sub(c.currentUpdateAt) < maxUpdateAge || c.readerReplies(now))
+}
+
+// readerReplies reports whether the designated reader, another host, has replied recently.
+func (c *Cursor) readerReplies(now time.Time) bool {
+	return c.hasReader && now.Sub(c.peerRepliedAt) < maxUpdateAge
 }
 
 // StoreReplied records that the store answered a call that started at began, with all
 // items or with the changes, up to a revision.
 func (c *Cursor) StoreReplied(began, now time.Time, revision int64) {
 	c.revision = max(c.revision, revision)
-	c.listed = true
+	c.listed, c.compacted = true, false
 	if c.failures > 0 {
 		c.returnEnd = now.Add(returnPeriod)
 	}
@@ -165,10 +178,13 @@
 	if at := now.Add(-age); at.After(c.lastReply) {
 		c.lastReply = at
 	}
+	c.peerRepliedAt = now
 	if c.failures > 0 {
 		c.currentUpdateAt = time.Time{}
 		if age <= maxUpdateAge {
 			c.currentUpdateAt = now
+		}
+		if c.leavesStoreToOthers(now) || age <= maxUpdateAge {
 			c.nextCall = began.Add(c.interval(now) / 2)
 		}
 		return
@@ -183,7 +199,7 @@
 
 // PeerFailed records that no update was received from another host.
 func (c *Cursor) PeerFailed(now time.Time) {
-	c.currentUpdateAt = time.Time{}
+	c.currentUpdateAt, c.peerRepliedAt = time.Time{}, time.Time{}
 	if c.failures == 0 {
 		c.peerBackoffEnd = now.Add(peerBackoff)
 		c.nextCall = now
@@ -196,6 +212,8 @@
 	c.failures++
 	if c.failures >= outageThreshold {
 		c.lastOutage = now
+	}
+	if c.failures >= outageThreshold || c.readerReplies(now) {
 		c.storeRetryAt = now.Add(refusedRetryDelay)
 	}
 	c.nextCall = now.Add(min(maxRetryDelay, minRetryDelay<<min(c.failures-1, 4)))
@@ -205,9 +223,10 @@
 }
 
 // Compacted records that the store has compacted its history, so that the changes after
-// the current revision are lost and all items must be listed again.
+// the current revision are lost and all items must be listed again. Until then, what is known
+// stays in use.
 func (c *Cursor) Compacted(now time.Time) {
-	c.listed = false
+	c.compacted = true
 	c.lastOutage = now
 	c.nextCall = now
 }
--- a/internal/fleet/feed/cursor_test.go
+++ b/internal/fleet/feed/cursor_test.go
@@ -56,11 +56,12 @@
 }
 
 // runWithoutStore follows the store from 1 s until the given time, on a host whose calls to
-// it all fail and that gets updates of the given age from other hosts. It returns the
+// it all fail and that gets updates of the given age from other hosts, or from its reader if
+// hasReader is set. It returns the
 // numbers of calls and of updates.
-func runWithoutStore(c *feed.Cursor, untilMs int, age time.Duration) (calls, fetched int) {
+func runWithoutStore(c *feed.Cursor, untilMs int, age time.Duration, hasReader bool) (calls, fetched int) {
 	for ms := 1000; ms < untilMs; {
-		action, when := c.Next(at(ms), false, true)
+		action, when := c.Next(at(ms), hasReader, true)
 		switch action {
 		case feed.Watch:
 			calls++
@@ -77,7 +78,7 @@
 
 func TestUnreachableStoreAlternatesRetriesAndFetches(t *testing.T) {
 	c := listed()
-	calls, fetched := runWithoutStore(c, 11_000, 10*time.Second)
+	calls, fetched := runWithoutStore(c, 11_000, 10*time.Second, false)
 	assert.InDelta(t, calls, fetched, 1)
 	assert.Less(t, calls, 16, "failed calls count as calls to the store too")
 	assert.Greater(t, calls, 8)
@@ -137,10 +138,28 @@
 // their updates become old, the store is down for all, and each host calls it each second
 // to notice its return.
 func TestHostRefusedByStoreCallsItRarely(t *testing.T) {
-	calls, fetched := runWithoutStore(listed(), 61_000, 300*time.Millisecond)
+	calls, fetched := runWithoutStore(listed(), 61_000, 300*time.Millisecond, false)
 	assert.LessOrEqual(t, calls, 18)
 	assert.GreaterOrEqual(t, calls, 14)
 	assert.GreaterOrEqual(t, fetched, 90, "an update each half second, but for the first calls")
-	calls, _ = runWithoutStore(listed(), 61_000, 10*time.Second)
+	calls, _ = runWithoutStore(listed(), 61_000, 10*time.Second, false)
 	assert.GreaterOrEqual(t, calls, 59)
 }
+
+// TestStoreIsLeftToReaderInOutage checks a host whose reader is alive while the store is down
+// for both. Only the reader calls the store often; the host notices its return from the
+// updates of the reader.
+func TestStoreIsLeftToReaderInOutage(t *testing.T) {
+	c := listed()
+	c.PeerReplied(at(900), at(900), 100, 3*time.Second, time.Time{})
+	calls, fetched := runWithoutStore(c, 61_000, 10*time.Second, true)
+	assert.LessOrEqual(t, calls, 17, "a call in 4 s")
+	assert.GreaterOrEqual(t, fetched, 90, "an update each half second, but for the calls")
+
+	c = listed()
+	c.PeerReplied(at(900), at(900), 100, 3*time.Second, time.Time{})
+	c.StoreFailed(at(1000), false)
+	assert.Equal(t, feed.Fetch, next(c, 1200, true, true))
+	c.PeerFailed(at(1200))
+	assert.Equal(t, feed.Watch, next(c, 1200, true, true), "the reader is lost too")
+}
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -25,6 +25,7 @@
 	down      bool
 	compacted bool
 	calls     int
+	listDelay time.Duration
 }
 
 func (s *store) write(key, value string) { s.writeWithFingerprint(key, value, "") }
@@ -50,7 +51,17 @@
 
 var errDown = errors.New("store is down")
 
+func (s *store) setListDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listDelay = d
+}
+
 func (s *store) List(context.Context) ([]feed.Item, int64, error) {
+	s.mu.Lock()
+	delay := s.listDelay
+	s.mu.Unlock()
+	time.Sleep(delay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -285,6 +296,31 @@
 	})
 }
 
+// TestHostsWithReaderMakeNoCallsAfterCompaction lets the store compact its history while a
+// reader serves other hosts. The reader lists all items again; the others wait for it.
+func TestHostsWithReaderMakeNoCallsAfterCompaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &store{items: map[string]feed.Item{}}
+		s.write("a", "1")
+		s.write("b", "1")
+		reader := follow(ctx, s, &peer{})
+		time.Sleep(300 * time.Millisecond)
+		ownStore := &store{items: map[string]feed.Item{}}
+		f := follow(ctx, ownStore, &peer{feed: &reader.Feed, reader: true})
+		time.Sleep(2 * time.Second)
+		s.setFaults(false, true)
+		s.write("a", "2")
+		s.write("b", "")
+		s.setListDelay(400 * time.Millisecond)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, "2", f.sink.get("a"))
+		assert.Empty(t, f.sink.get("b"))
+		assert.LessOrEqual(t, ownStore.calls, 1, "only the first list")
+	})
+}
+
 func TestUpdatesOmitHeartbeats(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
