Refuse requests that are not idempotent earlier in a planned stop

Cause (operators' report): a stopping host accepted a request as long as one latency target was left. If the target took longer, the caller got a 504 at the end of the grace time: an answer, but of a request that cannot be sent again.

Such a request now needs twice the latency of slow answers of its route; earlier refusals are true and served by other hosts. TestNonIdempotentRequestsAreRefusedEarlierInStop is the rule's table.

--- a/internal/serving/gateway/bounds.go
+++ b/internal/serving/gateway/bounds.go
@@ -45,6 +45,10 @@
 	// minTimeToShutdown is the time before its shutdown from which a host refuses
 	// requests; if the latency target of the route is longer, that applies.
 	minTimeToShutdown = 250 * time.Millisecond
+	// nonIdempotentMargin is the factor by which the time is longer for a request that is not
+	// idempotent, and slowQuantile the quantile of latencies that it has to cover.
+	nonIdempotentMargin = 2
+	slowQuantile        = 0.99
 	// minStartupRetryAfter and maxStartupRetryAfter bound the time after which a caller
 	// should retry that was refused because the host has no manifest yet.
 	minStartupRetryAfter = 300 * time.Millisecond
--- a/internal/serving/gateway/deadlines.go
+++ b/internal/serving/gateway/deadlines.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fescuerill/internal/routing/manifest"
 	"fescuerill/internal/serving/search"
 )
 
@@ -42,6 +43,28 @@
 	r.plan.HedgeDelay = max(minHedgeDelay, hedgeDelay)
 }
 
+// tooLate reports whether the host stops too soon to serve a request of a route.
+func (g *Gateway) tooLate(route *manifest.Route) bool {
+	shutdownDeadline := g.shutdownDeadline.Load()
+	if shutdownDeadline == nil {
+		return false
+	}
+	slowest := g.latencies.Quantile(route.Name, slowQuantile)
+	return time.Until(*shutdownDeadline) < RequiredTime(route.Idempotent, route.LatencyTarget, slowest)
+}
+
+// RequiredTime returns the time that a stopping host must have left to accept a request.
+// slowest is the latency of slow answers, or 0 if it is not known. A request that is not
+// idempotent gets more time, because its caller cannot send it again once it has reached a
+// target, while a refused one is served by another host.
+func RequiredTime(idempotent bool, latencyTarget, slowest time.Duration) time.Duration {
+	required := max(latencyTarget, minTimeToShutdown)
+	if !idempotent {
+		required = nonIdempotentMargin * max(required, slowest)
+	}
+	return required
+}
+
 // SoftDeadlineAfter returns the time from the arrival of a search to its soft deadline,
 // such that the answer reaches the caller within the latency target. At least half of
 // the latency target is left for the parts.
--- a/internal/serving/gateway/deadlines_test.go
+++ b/internal/serving/gateway/deadlines_test.go
@@ -39,3 +39,23 @@
 		assert.Equal(t, test.want, gateway.StartupRetryAfter(test.waited), name)
 	}
 }
+
+// TestNonIdempotentRequestsAreRefusedEarlierInStop checks that a stopping host has time for
+// the slow answers of a route when it accepts a request that cannot be sent again.
+func TestNonIdempotentRequestsAreRefusedEarlierInStop(t *testing.T) {
+	tests := map[string]struct {
+		idempotent             bool
+		latencyTarget, slowest time.Duration
+		want                   time.Duration
+	}{
+		"search":                          {true, 80 * time.Millisecond, 700 * time.Millisecond, 250 * time.Millisecond},
+		"idempotent":                      {true, 300 * time.Millisecond, 700 * time.Millisecond, 300 * time.Millisecond},
+		"non-idempotent":                  {false, 300 * time.Millisecond, 700 * time.Millisecond, 1400 * time.Millisecond},
+		"non-idempotent, latency unknown": {false, 300 * time.Millisecond, 0, 600 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, test.want, gateway.RequiredTime(test.idempotent, test.latencyTarget, test.slowest))
+		})
+	}
+}
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -66,7 +66,7 @@
 		g.log.Info("request", "id", req.ID, "outcome", Unrouted.String(), "host", req.Host, "path", req.Path, "version", m.Version())
 		return Answer{Kind: Unrouted, Reason: "no-route"}
 	}
-	if shutdownDeadline := g.shutdownDeadline.Load(); shutdownDeadline != nil && time.Until(*shutdownDeadline) < max(route.LatencyTarget, minTimeToShutdown) {
+	if g.tooLate(route) {
 		return g.refuse(req, route, "stopping", minRetryAfter)
 	}
 	if g.requests.Add(1) > maxRequests {
