--- a/internal/serving/server/active.go
+++ b/internal/serving/server/active.go
@@ -95,12 +95,12 @@
 	return net.JoinHostPort(ip, port)
 }
 
-// activeShare returns the share of the cores whose hosts are active: 1 while the load is
-// unknown. It assumes that other data centres have the same load per core as this one.
-func (s *Server) activeShare(now time.Time, known []directory.Host) float64 {
+// activeShare returns the share of the cores whose hosts are active. It assumes that other
+// data centres have the same load per core as this one.
+func (s *Server) activeShare(now time.Time, known []directory.Host) directory.Share {
 	parts, ok := s.peers.Load(now)
 	if !ok {
-		return 1
+		return directory.Share{}
 	}
 	cores := 0.0
 	for _, h := range known {
