Let the reader end an outage or a compaction for its followers

An update of the reader that is current now ends the outage for the host, and a compacted host asks the reader before it lists. TestReaderEndsOutageOfItsFollowers fails before.

--- a/internal/fleet/feed/cursor.go
+++ b/internal/fleet/feed/cursor.go
@@ -55,7 +55,7 @@
 type Cursor struct {
 	revision int64
 	listed   bool
-	// compacted is set while all items must be listed again because changes were lost.
+	// compacted is set while changes are missing that the store has lost.
 	compacted  bool
 	failures   int
 	askedPeer  bool
@@ -102,7 +102,8 @@
 	return c.lastOutage
 }
 
-// Reachable reports whether the store answered the last call.
+// Reachable reports whether the store answered the last call, of this host or of the reader
+// that it follows.
 func (c *Cursor) Reachable() bool { return c.failures == 0 && c.listed && !c.compacted }
 
 // Next returns the action that is due now, or None and the time of the next call.
@@ -119,10 +120,12 @@
 	}
 	c.askedPeer = false
 	switch {
-	case !c.listed || c.compacted:
+	case !c.listed:
 		return List, now
 	case hasReader && c.failures == 0 && now.After(c.peerBackoffEnd):
 		return Fetch, now
+	case c.compacted:
+		return List, now
 	}
 	return Watch, now
 }
@@ -179,6 +182,11 @@
 		c.lastReply = at
 	}
 	c.peerRepliedAt = now
+	if c.hasReader && age <= maxUpdateAge {
+		// The reader follows the store; what this host sees of the store itself is no
+		// longer of interest.
+		c.failures, c.compacted, c.peerBackoffEnd = 0, false, time.Time{}
+	}
 	if c.failures > 0 {
 		c.currentUpdateAt = time.Time{}
 		if age <= maxUpdateAge {
@@ -223,10 +231,10 @@
 }
 
 // Compacted records that the store has compacted its history, so that the changes after
-// the current revision are lost and all items must be listed again. Until then, what is known
-// stays in use.
+// the current revision are lost. They are requested from the reader, or else all items must be
+// listed again. Until then, what is known stays in use.
 func (c *Cursor) Compacted(now time.Time) {
-	c.compacted = true
+	c.compacted, c.peerBackoffEnd = true, time.Time{}
 	c.lastOutage = now
 	c.nextCall = now
 }
--- a/internal/fleet/feed/cursor_test.go
+++ b/internal/fleet/feed/cursor_test.go
@@ -163,3 +163,31 @@
 	c.PeerFailed(at(1200))
 	assert.Equal(t, feed.Watch, next(c, 1200, true, true), "the reader is lost too")
 }
+
+// TestReaderEndsOutageOfItsFollowers checks that a host whose own calls failed does not call
+// the store again when its reader follows it: after an outage or a compaction all followers
+// would do so at once.
+func TestReaderEndsOutageOfItsFollowers(t *testing.T) {
+	for name, fault := range map[string]func(*feed.Cursor){
+		"outage": func(c *feed.Cursor) {
+			c.StoreFailed(at(1100), false)
+			c.StoreFailed(at(1200), false)
+		},
+		"compaction": func(c *feed.Cursor) { c.Compacted(at(1200)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := listed()
+			assert.Equal(t, feed.Fetch, next(c, 1000, true, true))
+			c.PeerReplied(at(1000), at(1000), 100, 3*time.Second, time.Time{})
+			fault(c)
+			c.Next(at(2000), true, true)
+			c.PeerReplied(at(2000), at(2000), 110, 100*time.Millisecond, at(1900))
+			assert.True(t, c.Reachable())
+			for ms := 2500; ms < 60_000; ms += 500 {
+				action := next(c, ms, true, true)
+				assert.Equal(t, feed.Fetch, action)
+				c.PeerReplied(at(ms), at(ms), 110, 100*time.Millisecond, at(1900))
+			}
+		})
+	}
+}
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -201,7 +201,11 @@
 	if !older {
 		changed = f.merge(update.Items, update.Full)
 	}
+	regained := f.cursor.Reachable() && f.noteRegained(now)
 	f.mu.Unlock()
+	if regained {
+		f.log.Info("store regained", "revision", update.Revision, "through", "reader")
+	}
 	if !older {
 		f.sink.Apply(now, changed, update.Full, update.LastOutage)
 	}
@@ -235,11 +239,7 @@
 	f.cursor.StoreReplied(began, now, revision)
 	changed := f.merge(items, full)
 	lastOutage := f.cursor.LastOutage()
-	regained := f.storeLost
-	f.storeLost = false
-	if regained {
-		f.changedAt = now
-	}
+	regained := f.noteRegained(now)
 	f.mu.Unlock()
 	if regained {
 		f.log.Info("store regained", "revision", revision)
@@ -247,6 +247,17 @@
 	f.sink.Apply(now, changed, full, lastOutage)
 }
 
+// noteRegained records that the store is reached and reports whether it was lost. The mutex
+// must be held.
+func (f *Feed) noteRegained(now time.Time) bool {
+	regained := f.storeLost
+	f.storeLost = false
+	if regained {
+		f.changedAt = now
+	}
+	return regained
+}
+
 // merge stores the items and returns those that have changed, in the order of their
 // revisions. The mutex must be held since the cursor's revision was advanced: an update
 // for another host must contain all changes up to the revision that it states.
