--- a/internal/fleet/peers/load_test.go
+++ b/internal/fleet/peers/load_test.go
@@ -10,7 +10,7 @@
 // TestHostsKnowLoadOfTheirDataCentre has all hosts report their loads to their designated
 // reader, which must reply with the sum for their data centre.
 func TestHostsKnowLoadOfTheirDataCentre(t *testing.T) {
-	all := fleet(t, 8)
+	all := startFleet(t, 8)
 	for i, m := range all {
 		m.SetLoad(float64(10 * (i + 1)))
 	}
--- a/internal/fleet/peers/outage_test.go
+++ b/internal/fleet/peers/outage_test.go
@@ -51,7 +51,7 @@
 // take.
 func TestOutageOfDataCentreIsDetectedQuickly(t *testing.T) {
 	const maxDelay = 5 * time.Second
-	all := fleet(t, 40)
+	all := startFleet(t, 40)
 	alive := func(m *member, dataCentre string) int {
 		n := 0
 		m.Each(func(h peers.Host) {
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,6 +18,8 @@
 	"fescuerill/host"
 	"fescuerill/internal/fleet/feed"
 	"fescuerill/internal/fleet/peers"
+	"fescuerill/internal/observe/traffic"
+	"fescuerill/internal/schema/fleet"
 	"fescuerill/internal/stats"
 )
 
@@ -39,6 +42,7 @@
 	address string
 	conn    *lossyConn
 	source  *updates
+	meter   *traffic.Meter
 	stop    context.CancelFunc
 }
 
@@ -46,9 +50,14 @@
 // revision.
 type updates struct {
 	revision atomic.Int64
+	// items, if not nil, are those of each update.
+	items []feed.Item
 }
 
 func (u *updates) UpdateSince(_ time.Time, after int64, full bool) (feed.Update, bool) {
+	if u.items != nil {
+		return feed.Update{Revision: after + 1, Full: full, Items: u.items}, true
+	}
 	if at := u.revision.Load(); at > 0 {
 		return feed.Update{Revision: at, Full: full}, true
 	}
@@ -63,9 +72,9 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	conn, l := listenBoth(t)
 	address := conn.LocalAddr().String()
-	m := &member{address: address, conn: &lossyConn{PacketConn: conn}, source: &updates{}, stop: cancel}
+	m := &member{address: address, conn: &lossyConn{PacketConn: conn}, source: &updates{}, meter: &traffic.Meter{}, stop: cancel}
 	self := peers.Self{Address: address, DataCentre: dataCentre, Incarnation: fmt.Sprint("run", n)}
-	m.Peers = peers.Start(ctx, self, m.conn, rand.New(rand.NewPCG(uint64(n), 1)), slog.New(slog.DiscardHandler), &stats.Registry{}, nil)
+	m.Peers = peers.Start(ctx, self, m.conn, rand.New(rand.NewPCG(uint64(n), 1)), slog.New(slog.DiscardHandler), &stats.Registry{}, m.meter)
 	go m.Serve(ctx, l, m.source)
 	m.ProbeAll(seeds)
 	return m
@@ -98,7 +107,7 @@
 	return s
 }
 
-func fleet(t *testing.T, n int) []*member {
+func startFleet(t *testing.T, n int) []*member {
 	all := []*member{join(t, 0, "a")}
 	for i := 1; i < n; i++ {
 		all = append(all, join(t, i, []string{"a", "b"}[i%2], all[0].address))
@@ -114,7 +123,7 @@
 }
 
 func TestDeadHostIsDetectedByAllHosts(t *testing.T) {
-	all := fleet(t, 6)
+	all := startFleet(t, 6)
 	require.Eventually(t, func() bool { return all[5].Size() == 6 && all[0].Size() == 6 }, 3*time.Second, 10*time.Millisecond)
 	all[5].stop()
 	died := time.Now()
@@ -126,7 +135,7 @@
 }
 
 func TestLeavingHostIsKnownAtOnce(t *testing.T) {
-	all := fleet(t, 4)
+	all := startFleet(t, 4)
 	require.Eventually(t, func() bool { return all[0].state(all[3].address) == host.Alive }, 3*time.Second, 10*time.Millisecond)
 	all[3].Leave(true)
 	for _, m := range all[:3] {
@@ -134,8 +143,91 @@
 	}
 }
 
+// TestStandbyHostNotifiesItsDataCentreWhenItLeaves checks that a host whose address callers do
+// not have sends no datagrams to other data centres when it leaves, where its state spreads
+// with the regular probes, and that these are not answered.
+func TestStandbyHostNotifiesItsDataCentreWhenItLeaves(t *testing.T) {
+	all := startFleet(t, 8)
+	leaving := all[7] // In data centre b.
+	require.Eventually(t, func() bool { return all[1].state(leaving.address) == host.Alive }, 3*time.Second, 10*time.Millisecond)
+	before := bytesSentToOtherDataCentres(leaving)
+	leaving.Leave(false)
+	assert.Less(t, bytesSentToOtherDataCentres(leaving)-before, int64(400), "no datagram for each of the 4 hosts there")
+	for _, m := range all[:7] {
+		assert.Eventually(t, func() bool { return m.state(leaving.address) == host.Leaving }, 9*time.Second, 10*time.Millisecond)
+	}
+}
+
+func bytesSentToOtherDataCentres(m *member) int64 {
+	n := int64(0)
+	m.meter.Each(func(name string, count int64) {
+		if name == "bytes-sent-probe-remote" {
+			n = count
+		}
+	})
+	return n
+}
+
+// TestUpdateForOtherDataCentreIsCompressed compares what a host receives in an update with
+// the entries of many targets from its own and from another data centre.
+func TestUpdateForOtherDataCentreIsCompressed(t *testing.T) {
+	var items []feed.Item
+	for n := range 300 {
+		value := fmt.Sprintf(`{"service":"s%d","address":"10.0.%d.%d:8080","zone":"a","concurrency":2,"state":"ready","sequence":%d}`, n/2, n%7, n, n*n)
+		items = append(items, feed.Item{Key: fmt.Sprint("servers/i-", n*7919), Value: []byte(value), Revision: int64(n + 1)})
+	}
+	received := map[string]int64{}
+	for _, dataCentre := range []string{"a", "b"} {
+		source := join(t, 1, "a")
+		source.source.items = items
+		m := join(t, 2, dataCentre, source.address)
+		require.Eventually(t, m.HasLive, 3*time.Second, time.Millisecond)
+		got, err := m.FetchUpdate(t.Context(), 0, true)
+		require.NoError(t, err)
+		assert.Equal(t, items, got.Items)
+		m.meter.Each(func(name string, count int64) {
+			if strings.HasPrefix(name, "bytes-received-update") {
+				received[dataCentre] = count
+			}
+		})
+	}
+	assert.Positive(t, received["b"])
+	assert.Less(t, 5*received["b"], received["a"])
+}
+
+func TestChooseUpdateSource(t *testing.T) {
+	current, old := 300*time.Millisecond, 5*time.Second
+	tests := map[string]struct {
+		candidates []peers.UpdateCandidate
+		want       int
+	}{
+		"none":                             {nil, -1},
+		"no reply":                         {[]peers.UpdateCandidate{{Revision: 9}}, -1},
+		"latest":                           {[]peers.UpdateCandidate{{Replied: true, Revision: 4}, {Replied: true, Revision: 5}}, 1},
+		"current in the same data centre":  {[]peers.UpdateCandidate{{Replied: true, Revision: 9, Age: current}, {Replied: true, Revision: 5, Age: current, Local: true}}, 1},
+		"cut off in the same data centre":  {[]peers.UpdateCandidate{{Replied: true, Revision: 9, Age: current}, {Replied: true, Revision: 5, Age: old, Local: true}}, 0},
+		"two current in the same":          {[]peers.UpdateCandidate{{Replied: true, Revision: 5, Age: current, Local: true}, {Replied: true, Revision: 6, Age: current, Local: true}}, 1},
+		"all old, as in an outage for all": {[]peers.UpdateCandidate{{Replied: true, Revision: 5, Age: old, Local: true}, {Replied: true, Revision: 6, Age: old}}, 1},
+		"silent one in the same":           {[]peers.UpdateCandidate{{Local: true}, {Replied: true, Revision: 6, Age: old}}, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, test.want, peers.ChooseUpdateSource(test.candidates)) })
+	}
+}
+
+func FuzzMessage(f *testing.F) {
+	valid, err := (&fleet.Message{Kind: fleet.MessageKindProbe, From: "10.0.0.1:1", Incarnation: "x", News: []fleet.HostUpdate{{Host: "10.0.0.2:1"}}}).MarshalMsg(nil)
+	require.NoError(f, err)
+	f.Add(valid)
+	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		var m fleet.Message
+		_, _ = m.UnmarshalMsg(text)
+	})
+}
+
 func TestIsolatedHostIsAliveAfterReconnect(t *testing.T) {
-	all := fleet(t, 4)
+	all := startFleet(t, 4)
 	all[3].conn.isolated.Store(true)
 	require.Eventually(t, func() bool { return all[0].state(all[3].address) == host.Dead }, 12*time.Second, 20*time.Millisecond)
 	all[3].conn.isolated.Store(false)
@@ -143,7 +235,7 @@
 }
 
 func TestFetchesUpdateFromOtherHost(t *testing.T) {
-	all := fleet(t, 3)
+	all := startFleet(t, 3)
 	got, err := all[0].FetchUpdate(t.Context(), 41, true)
 	require.NoError(t, err)
 	assert.Equal(t, int64(43), got.Revision)
@@ -162,7 +254,7 @@
 // for all other hosts but one. Items that were withdrawn after these were cut off must not
 // be in its first list.
 func TestFullUpdateComesFromMostCurrentHost(t *testing.T) {
-	all := fleet(t, 4)
+	all := startFleet(t, 4)
 	for i, revision := range []int64{9, 40, 41, 40} {
 		all[i].source.revision.Store(revision)
 	}
@@ -188,7 +280,7 @@
 	m := join(t, 1, "a")
 	c, err := net.Dial("udp", m.address)
 	require.NoError(t, err)
-	for _, text := range []string{"", "{", `{"kind":"dance"}`, `{"kind":"answer","number":99,"from":"x"}`} {
+	for _, text := range []string{"", "{", `{"kind":"dance"}`, `{"kind":"answer","number":99,"from":"x"}`, "\x98\xa5probe\xa1x", "\xdd\xff\xff\xff\xff", "\xc0"} {
 		_, err := c.Write([]byte(text))
 		require.NoError(t, err)
 	}
--- a/internal/serving/exchange/pool_test.go
+++ b/internal/serving/exchange/pool_test.go
@@ -205,6 +205,36 @@
 	assert.Equal(t, int64(1), s.requests.Load(), "no request is sent once its time has run out")
 }
 
+// TestRejectWaitingEndsRequestsThatWait lets requests wait for the only connection to a target
+// that then wants no more. They must end at once, as not sent; the one in flight goes on.
+func TestRejectWaitingEndsRequestsThatWait(t *testing.T) {
+	s := startTarget(t, "...", goodAnswer)
+	p := newPool()
+	p.SetMaxConns("t", 1)
+	inFlight := make(chan exchange.Reply, 1)
+	go func() {
+		inFlight <- p.Do(t.Context(), s.target(), newRequest("1"), func() time.Duration { return 300 * time.Millisecond })
+	}()
+	require.Eventually(t, func() bool { return s.requests.Load() == 1 }, time.Second, time.Millisecond)
+	waiting := make(chan exchange.Reply, 5)
+	for range cap(waiting) {
+		go func() { waiting <- p.Do(t.Context(), s.target(), newRequest("2"), oneSecond) }()
+	}
+	time.Sleep(50 * time.Millisecond)
+	rejected := time.Now()
+	p.RejectWaiting("t")
+	p.RejectWaiting("unknown")
+	for range cap(waiting) {
+		r := <-waiting
+		assert.Equal(t, search.NotSent, r.Outcome)
+		assert.Equal(t, "target-closed", r.Reason)
+	}
+	assert.Less(t, time.Since(rejected), 100*time.Millisecond)
+	assert.Equal(t, search.Unknown, (<-inFlight).Outcome)
+	assert.Equal(t, search.Good, p.Do(t.Context(), s.target(), newRequest("3"), oneSecond).Outcome, "the queue is in order")
+	assert.Equal(t, int64(2), s.requests.Load())
+}
+
 // TestPoolSendsNewestWaitingRequest lets three requests wait for the only connection. The
 // first of them must not be sent, because its time passes while it waits, and the last one
 // goes before the second.
--- a/internal/serving/relay/relay_test.go
+++ b/internal/serving/relay/relay_test.go
@@ -155,6 +155,45 @@
 	assert.False(t, cancel(), "all results have been received")
 }
 
+// TestRelayPassesOnWhatTargetsSay returns the statements of targets with good and with other
+// results.
+func TestRelayPassesOnWhatTargetsSay(t *testing.T) {
+	leaving := exchange.Statement{Incarnation: 1700000000123, Leaving: true}
+	closed := exchange.Statement{Incarnation: 7, ClosedFor: 1500 * time.Millisecond}
+	h := startHost(t, func(_ context.Context, target string, _ *exchange.Request, _ func() time.Duration) exchange.Reply {
+		switch target {
+		case "leaving":
+			r := goodReply("mac-leaving", "a")
+			r.Statement = leaving
+			return r
+		case "closed":
+			return exchange.Reply{Outcome: search.NotRun, Reason: "shed", Status: 503, Shed: true, Statement: closed}
+		}
+		return goodReply("mac-"+target, "b")
+	})
+	conns := connect(t, h)
+	r := newRecorder()
+	_, ok := conns.Send(h.address, newRequest("one", "leaving", "closed"), r)
+	require.True(t, ok)
+	require.Eventually(t, func() bool { parts, _, _ := r.state(); return parts == 3 }, 2*time.Second, time.Millisecond)
+	assert.Equal(t, exchange.Statement{}, r.parts[0].Reply.Statement)
+	assert.Equal(t, "mac-leaving", r.parts[1].Reply.MAC)
+	assert.Equal(t, leaving, r.parts[1].Reply.Statement)
+	assert.Equal(t, closed, r.parts[2].Reply.Statement)
+	assert.Positive(t, r.parts[0].Elapsed)
+}
+
+func FuzzMessages(f *testing.F) {
+	for _, text := range [][]byte{{0x94, 1, 0x90, 0x90, 0xc0}, {0xdd, 0xff, 0xff, 0xff, 0xff}, {0x9c, 0xc0}, {0x91, 9}} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		for _, m := range []interface{ UnmarshalMsg([]byte) ([]byte, error) }{&wire.Request{}, &wire.Results{}, &wire.Cancel{}} {
+			_, _ = m.UnmarshalMsg(text)
+		}
+	})
+}
+
 func TestCancelStopsPartsAtRelayHost(t *testing.T) {
 	ended := make(chan error, 1)
 	h := startHost(t, func(ctx context.Context, _ string, _ *exchange.Request, _ func() time.Duration) exchange.Reply {
@@ -232,7 +271,8 @@
 		"call":                frameOf('j', []byte(`{"jsonrpc":"2.0","method":"parts/ask","id":1}`)),
 		"invalid call":        frameOf('j', []byte("{]")),
 		"unknown kind":        frameOf('z', nil),
-		"results to a server": frameOf('r', []byte{0x93, 1, 0x90, 0xc0}),
+		"results to a server": frameOf('s', []byte{0x94, 1, 0x90, 0x90, 0xc0}),
+		"old results":         frameOf('r', []byte{0x93, 1, 0x90, 0xc0}),
 		"empty request":       frameOf('q', nil),
 		"wrong types":         frameOf('q', []byte{0x9c, 0xc0, 0xc0, 0xc0}),
 		"endless array":       frameOf('q', []byte{0xdd, 0xff, 0xff, 0xff, 0xff}),
