--- a/internal/routing/catalog/statement.go
+++ b/internal/routing/catalog/statement.go
@@ -67,7 +67,7 @@
 // Leaving reports whether a target is leaving, by its record in the store or by its answers.
 func (c *Catalog) Leaving(e *Entry) bool {
 	s := c.statements[e.ID]
-	return e.Target.Leaving || s != nil && s.incarnation == e.Incarnation && s.leaving
+	return e.Leaving || s != nil && s.incarnation == e.Incarnation && s.leaving
 }
 
 // ClosedFor returns how much longer a target is closed, or 0 if it is open.
--- a/internal/serving/exchange/fuzz_test.go
+++ b/internal/serving/exchange/fuzz_test.go
@@ -42,7 +42,7 @@
 		r := p.Do(t.Context(), exchange.Target{ID: "t", Address: "10.0.0.1:1"}, newRequest("a"), oneSecond)
 		if r.Outcome == search.Good {
 			assert.NotEmpty(t, r.MAC)
-			assert.Contains(t, string(text), string(r.Header.Get("Stamp")))
+			assert.Contains(t, string(text), r.Header.Get("Stamp"))
 			assert.LessOrEqual(t, len(r.Body), len(text))
 		}
 	})
--- a/internal/serving/relay/relay_test.go
+++ b/internal/serving/relay/relay_test.go
@@ -187,7 +187,7 @@
 	for _, text := range [][]byte{{0x94, 1, 0x90, 0x90, 0xc0}, {0xdd, 0xff, 0xff, 0xff, 0xff}, {0x9c, 0xc0}, {0x91, 9}} {
 		f.Add(text)
 	}
-	f.Fuzz(func(t *testing.T, text []byte) {
+	f.Fuzz(func(_ *testing.T, text []byte) {
 		for _, m := range []interface{ UnmarshalMsg([]byte) ([]byte, error) }{&wire.Request{}, &wire.Results{}, &wire.Cancel{}} {
 			_, _ = m.UnmarshalMsg(text)
 		}
