Send packed items only to hosts that can read them

A host of the version before would take a packed update for one without items and advance its revision: during a rolling upgrade it would miss changes of the manifest. The request says now whether its sender reads packed items. TestUpdateIsPlainForHostThatCannotReadPackedItems fails before.

--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -296,3 +297,21 @@
 		t.Fatal(errors.Wrap(err, "update after invalid messages"))
 	}
 }
+
+// TestUpdateIsPlainForHostThatCannotReadPackedItems requests an update as a host of an earlier
+// version does. It would take packed items for an update without any.
+func TestUpdateIsPlainForHostThatCannotReadPackedItems(t *testing.T) {
+	m := join(t, 1, "a")
+	for n := range 50 {
+		m.source.items = append(m.source.items, feed.Item{Key: fmt.Sprint("k", n), Value: []byte("v"), Revision: int64(n + 1)})
+	}
+	conn, err := net.Dial("tcp", m.address)
+	require.NoError(t, err)
+	client := jsonrpc2.NewConn(t.Context(), jsonrpc2.NewPlainObjectStream(conn), nil)
+	defer func() { _ = client.Close() }()
+	var reply fleet.UpdateReply
+	request := fleet.UpdateRequest{Revision: 0, Whole: true, From: "127.0.0.1:1", DataCentre: "b"}
+	require.NoError(t, client.Call(t.Context(), "store/items", request, &reply))
+	assert.Len(t, reply.Items, 50)
+	assert.Nil(t, reply.PackedItems)
+}
--- a/internal/fleet/peers/updates.go
+++ b/internal/fleet/peers/updates.go
@@ -98,7 +98,7 @@
 	}
 	reply := encodeUpdate(now, update)
 	reply.PartsPerSecond = p.recordLoad(now, request)
-	if request.DataCentre != p.self.DataCentre {
+	if request.Packed != nil && *request.Packed && request.DataCentre != p.self.DataCentre {
 		if err := packItems(&reply); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
 		}
@@ -255,8 +255,9 @@
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no methods here"}
 		}))
 	defer func() { _ = client.Close() }()
+	readsPacked := true
 	request := fleet.UpdateRequest{
-		Revision: int(after), Whole: full, From: p.self.Address, DataCentre: p.self.DataCentre, PartsPerSecond: p.ownLoad(),
+		Revision: int(after), Whole: full, Packed: &readsPacked, From: p.self.Address, DataCentre: p.self.DataCentre, PartsPerSecond: p.ownLoad(),
 	}
 	if err := client.Call(ctx, updateMethod, request, &reply); err != nil {
 		return reply, errors.Wrap(err, "fetch store update from host "+address)
--- a/internal/observe/traffic/meter.go
+++ b/internal/observe/traffic/meter.go
@@ -70,9 +70,9 @@
 
 var callNames = [calls]string{"list", "list-stale", "watch", "lease", "renew", "write"}
 
-// Meter counts calls to the store and bytes, the latter without the headers of TCP, UDP and IP. The zero value and a nil
-// pointer are ready to use; a nil pointer counts nothing. Its methods are safe for
-// concurrent use.
+// Meter counts calls to the store, and bytes without the headers of TCP, UDP and IP. The zero
+// value and a nil pointer are ready to use; a nil pointer counts nothing. Its methods are safe
+// for concurrent use.
 type Meter struct {
 	sent, received [kinds][scopes]atomic.Int64
 	storeCalls     [calls]atomic.Int64
--- a/internal/schema/fleet/fleet.gen.go
+++ b/internal/schema/fleet/fleet.gen.go
@@ -140,6 +140,9 @@
 	// Peer address of the requesting host.
 	From string `json:"from"`
 
+	// Whether the requesting host can read packed items.
+	Packed *bool `json:"packed,omitempty,omitzero"`
+
 	// Rate at which the requesting host sends parts to targets.
 	PartsPerSecond float64 `json:"parts-per-second"`
 
