--- a/internal/serving/exchange/answer.go
+++ b/internal/serving/exchange/answer.go
@@ -11,6 +11,9 @@
 const (
 	// maxAnswerBytes is the length of the longest body that is accepted in an answer.
 	maxAnswerBytes = 8 << 20
+	// maxReceivedBodyBytes is the same with the sizes of its chunks, as it was sent. A body in
+	// chunks of a few bytes costs much more time than its length shows.
+	maxReceivedBodyBytes = maxAnswerBytes + maxAnswerBytes/8
 	// maxHeadBytes is the length of the longest head that is accepted: the status line and
 	// the header of an answer, with all interim answers before it.
 	maxHeadBytes = 64 << 10
@@ -23,35 +26,28 @@
 )
 
 // errAnswerTooLong is returned for a head longer than maxHeadBytes or a body longer than
-// maxAnswerBytes.
+// maxAnswerBytes, or than maxReceivedBodyBytes as it was sent.
 var errAnswerTooLong = errors.New("answer exceeds the size limit")
 
-// headLimiter reads from a connection and fails with errAnswerTooLong after a number of
-// bytes while it is limited. A target in trouble may send bytes without end.
-type headLimiter struct {
-	source  io.Reader
-	onRead  func(n int)
-	limited bool
-	left    int
+// answerReader reads from a connection and fails with errAnswerTooLong after the bytes that
+// are allowed. A target in trouble may send bytes without end.
+type answerReader struct {
+	source io.Reader
+	onRead func(n int)
+	left   int
 }
 
-// start limits the bytes of the next head.
-func (l *headLimiter) start() { l.limited, l.left = true, maxHeadBytes }
-
-// end ends the limit, as a head has been read.
-func (l *headLimiter) end() { l.limited = false }
+// allow sets the number of bytes that may be read from now on.
+func (a *answerReader) allow(n int) { a.left = n }
 
 // Read implements io.Reader.
-func (l *headLimiter) Read(b []byte) (int, error) {
-	if l.limited && l.left <= 0 {
+func (a *answerReader) Read(b []byte) (int, error) {
+	if a.left <= 0 {
 		return 0, errAnswerTooLong
 	}
-	if l.limited {
-		b = b[:min(len(b), l.left)]
-	}
-	n, err := l.source.Read(b)
-	l.left -= n
-	l.onRead(n)
+	n, err := a.source.Read(b[:min(len(b), a.left)])
+	a.left -= n
+	a.onRead(n)
 	return n, err
 }
 
@@ -59,7 +55,7 @@
 // to other requests; the connection is not reused after one.
 func (c *conn) read(req *Request, p Protocol) (Reply, error) {
 	request := &http.Request{Method: req.Method}
-	c.head.start()
+	c.source.allow(maxHeadBytes)
 	for mismatched := 0; ; {
 		r, err := http.ReadResponse(c.reader, request)
 		if errors.Is(err, io.ErrUnexpectedEOF) {
@@ -72,7 +68,7 @@
 		if r.StatusCode < http.StatusOK {
 			continue
 		}
-		c.head.end()
+		c.source.allow(maxReceivedBodyBytes)
 		body, err := readBody(r)
 		if err != nil {
 			return Reply{}, err
@@ -87,7 +83,7 @@
 		if mismatched++; mismatched > maxMismatchedAnswers || r.Close {
 			return Reply{}, errMismatchedAnswers
 		}
-		c.head.start()
+		c.source.allow(maxHeadBytes)
 	}
 }
 
--- a/internal/serving/exchange/answer_test.go
+++ b/internal/serving/exchange/answer_test.go
@@ -64,7 +64,7 @@
 		"header fields":   {ok, "Name: value\r\n", "answer-too-long", buffers},
 		"interim answers": {"", "HTTP/1.1 103 Early Hints\r\n\r\n", "answer-too-long", buffers},
 		"body":            {ok + "\r\n", "x", "answer-too-long", buffers + 8<<20},
-		"chunked body":    {ok + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n", "answer-too-long", buffers + 16<<20},
+		"chunked body":    {ok + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n", "answer-too-long", buffers + 9<<20},
 		"chunk header":    {ok + "Transfer-Encoding: chunked\r\n\r\n", "1", "bad-format", buffers},
 		"trailer":         {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n", "bad-format", buffers},
 		"no answer":       {"", "\x00", "answer-too-long", buffers},
--- a/internal/serving/exchange/conn.go
+++ b/internal/serving/exchange/conn.go
@@ -28,7 +28,7 @@
 // conn is a persistent connection to a target.
 type conn struct {
 	raw         net.Conn
-	head        *headLimiter
+	source      *answerReader
 	reader      *bufio.Reader
 	writeBuffer bytes.Buffer
 	lastUsed    time.Time
@@ -43,8 +43,8 @@
 
 // newConn returns a connection that calls onRead with the number of bytes of each read.
 func newConn(raw net.Conn, onRead func(n int)) *conn {
-	head := &headLimiter{source: raw, onRead: onRead}
-	return &conn{raw: raw, head: head, reader: bufio.NewReaderSize(head, 2048), idleTimeout: maxIdleTime}
+	source := &answerReader{source: raw, onRead: onRead}
+	return &conn{raw: raw, source: source, reader: bufio.NewReaderSize(source, 2048), idleTimeout: maxIdleTime}
 }
 
 // updateReuse sets the idle timeout from the Keep-Alive field of an answer, and noReuse
