--- a/internal/fleet/peers/datacentre.go
+++ b/internal/fleet/peers/datacentre.go
@@ -1,6 +1,8 @@
 package peers
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"fescuerill/host"
@@ -45,23 +47,47 @@
 	}
 }
 
-// probeRecovered probes the hosts of a data centre that is reachable again, to find which
-// of them are alive. Those that do not answer are probed again, in up to
-// maxRecoveryRounds rounds.
-func (p *Peers) probeRecovered(dataCentre string, round int) {
-	var silent []string
+// probeRecovered probes hosts of a data centre that is reachable again, to find which of them
+// are alive, unless that is under way already: a path that carries one direction only makes
+// the data centre heard and lost in turn.
+func (p *Peers) probeRecovered(dataCentre string) {
+	p.mu.Lock()
+	running := p.recovering[dataCentre]
+	p.recovering[dataCentre] = true
+	silent := len(p.silentIn(dataCentre))
+	p.mu.Unlock()
+	p.log.Info("data centre back", "data-centre", dataCentre, "silent", silent, "probed", !running)
+	if !running {
+		p.probeSilent(dataCentre, 1)
+	}
+}
+
+// probeSilent probes up to probesPerRecoveryRound of the silent hosts of a data centre, and
+// again, in up to maxRecoveryRounds rounds, those that have not answered or been probed.
+func (p *Peers) probeSilent(dataCentre string, round int) {
 	p.mu.Lock()
+	silent := p.silentIn(dataCentre)
+	p.mu.Unlock()
+	p.ProbeAll(silent[:min(len(silent), probesPerRecoveryRound)])
+	if round < maxRecoveryRounds && p.ctx.Err() == nil {
+		time.AfterFunc(suspicionTimeout, func() { p.probeSilent(dataCentre, round+1) })
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.recovering, dataCentre)
+}
+
+// silentIn returns the addresses of the hosts of a data centre that are not considered alive:
+// those with the most cores first, as they serve callers, and equal ones in no particular
+// order. The caller must hold p.mu.
+func (p *Peers) silentIn(dataCentre string) []string {
+	var silent []string
 	p.members.Each(func(u host.Update) {
 		if p.dataCentres[u.ID] == dataCentre && p.state(u) != host.Alive {
 			silent = append(silent, u.ID)
 		}
 	})
-	p.mu.Unlock()
-	if round == 1 {
-		p.log.Info("data centre back", "data-centre", dataCentre, "silent", len(silent))
-	}
-	p.ProbeAll(silent)
-	if round < maxRecoveryRounds && p.ctx.Err() == nil {
-		time.AfterFunc(suspicionTimeout, func() { p.probeRecovered(dataCentre, round+1) })
-	}
+	slices.SortStableFunc(silent, func(a, b string) int { return cmp.Compare(p.cores[b], p.cores[a]) })
+	return silent
 }
--- a/internal/fleet/peers/datagrams.go
+++ b/internal/fleet/peers/datagrams.go
@@ -193,7 +193,7 @@
 	}
 	p.mu.Unlock()
 	if recovered {
-		p.probeRecovered(m.DataCentre, 1)
+		p.probeRecovered(m.DataCentre)
 	}
 	switch {
 	case m.Kind == fleet.MessageKindProbe:
--- a/internal/fleet/peers/outage.go
+++ b/internal/fleet/peers/outage.go
@@ -14,8 +14,10 @@
 	// one, with indirect probes through other hosts.
 	minOutageHosts = 3
 	// maxRecoveryRounds is the maximum number of rounds in which the silent hosts of a
-	// data centre that is reachable again are probed.
-	maxRecoveryRounds = 4
+	// data centre that is reachable again are probed, and probesPerRecoveryRound the number
+	// of hosts in each. The others are heard in their turn.
+	maxRecoveryRounds      = 4
+	probesPerRecoveryRound = 8
 )
 
 // OutageDetector decides whether a data centre is down, that is, unreachable from this
--- a/internal/fleet/peers/outage_test.go
+++ b/internal/fleet/peers/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"fescuerill/host"
 	"fescuerill/internal/fleet/peers"
+	"fescuerill/internal/schema/fleet"
 )
 
 func TestDataCentreIsDownWhenNoHostAnswers(t *testing.T) {
@@ -80,3 +82,36 @@
 	}
 	assert.Less(t, time.Since(reconnectedAt), maxDelay)
 }
+
+// TestFlappingDataCentreCausesFewProbes lets all hosts of a data centre be heard and lost again
+// and again, as behind a path that carries one direction at times. What a host sends to it
+// must not grow with the number of its hosts: each probe that is not answered causes several
+// datagrams.
+func TestFlappingDataCentreCausesFewProbes(t *testing.T) {
+	const hosts, turns, turn = 40, 4, 2500 * time.Millisecond
+	observer := join(t, 0, "a")
+	for i := range hosts {
+		observer.AddHost(peers.Host{Address: fmt.Sprint("127.0.0.1:", 1+i), DataCentre: "b", Incarnation: "1", Cores: 1})
+	}
+	observer.SetSizeKnown()
+	from, err := net.Dial("udp", observer.address)
+	require.NoError(t, err)
+	before := int64(0)
+	for n := range turns + 1 {
+		time.Sleep(turn)
+		if n == 1 {
+			before = bytesSentToOtherDataCentres(observer)
+		}
+		for i := range hosts {
+			message := fleet.Message{Kind: fleet.MessageKindNotice, From: fmt.Sprint("127.0.0.1:", 1+i), Incarnation: "1", DataCentre: "b", News: []fleet.HostUpdate{}}
+			text, err := message.MarshalMsg(nil)
+			require.NoError(t, err)
+			_, err = from.Write(text)
+			require.NoError(t, err)
+		}
+	}
+	perTurn := (bytesSentToOtherDataCentres(observer) - before) / turns
+	t.Log("bytes sent in each turn", perTurn)
+	const datagramBytes = 300
+	assert.Less(t, perTurn, int64(datagramBytes*hosts), "less than a datagram for each host")
+}
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -61,6 +61,8 @@
 	cores       map[string]float64
 	loads       loads
 	outages     OutageDetector
+	// recovering holds the data centres whose silent hosts are being probed.
+	recovering map[string]bool
 	// discoveryProbes is the number of hosts that were probed when they were discovered
 	// through the store.
 	discoveryProbes int
@@ -76,7 +78,7 @@
 func Start(ctx context.Context, self Self, conn net.PacketConn, random *rand.Rand, log *slog.Logger, registry *stats.Registry, meter *traffic.Meter) *Peers {
 	p := &Peers{
 		ctx: ctx, self: self, conn: conn, log: log, stats: registry, meter: meter,
-		dataCentres: map[string]string{}, cores: map[string]float64{}, diedAt: map[string]time.Time{}, pending: map[int]probe{},
+		dataCentres: map[string]string{}, cores: map[string]float64{}, diedAt: map[string]time.Time{}, pending: map[int]probe{}, recovering: map[string]bool{},
 		startedAt: time.Now(),
 	}
 	p.members.Reset(time.Now(), self.Address, self.Incarnation, random)
