--- a/review/standin/latecopy.go
+++ b/review/standin/latecopy.go
@@ -21,6 +21,10 @@
 	deskWork     = 7500 * time.Microsecond
 	deskRate     = 110 // a second
 	loadTime     = 80 * time.Second
+	// deskConsumers ask, each for requests one after the other, and do not repeat one with
+	// less than minTimeLeft.
+	deskConsumers = 100
+	minTimeLeft   = 100 * time.Millisecond
 
 	shedShare = 0.8 // of the backends
 	shedRate  = 0.6 // of their requests
@@ -125,14 +129,18 @@
 	var mu sync.Mutex
 	var attempts []*attempt
 	var asking sync.WaitGroup
-	for end := time.Now().Add(loadTime); time.Now().Before(end); {
+	end := time.Now().Add(loadTime)
+	for n := range deskConsumers {
 		asking.Go(func() {
-			made := d.askOnce(zones[rand.IntN(len(zones))], deskPath(rand.IntN(deskServices))+"2f")
-			mu.Lock()
-			attempts = append(attempts, made...)
-			mu.Unlock()
+			c := &consumer{d: d, zone: zones[n%len(zones)], reconnects: true}
+			for time.Now().Before(end) {
+				time.Sleep(time.Duration(rand.ExpFloat64() * float64(time.Second) * deskConsumers / deskRate))
+				made := c.askOnce(deskPath(rand.IntN(deskServices)) + "2f")
+				mu.Lock()
+				attempts = append(attempts, made...)
+				mu.Unlock()
+			}
 		})
-		time.Sleep(time.Duration(rand.ExpFloat64() * float64(time.Second) / deskRate))
 	}
 	asking.Wait()
 	return checkOnce(rec, attempts), nil
@@ -140,26 +148,23 @@
 
 // askOnce sends one request that must not be repeated, and once more on a new connection if
 // the answer promises that it has not run.
-func (d *deployment) askOnce(zone, path string) []*attempt {
+func (c *consumer) askOnce(path string) []*attempt {
 	var made []*attempt
 	end := time.Now().Add(deskLimit)
-	addresses, _, err := d.resolve(d.hosts[rand.IntN(len(d.hosts))], zone)
-	if err != nil {
-		return nil
-	}
 	for range 2 {
-		c, err := dial(addresses[rand.IntN(len(addresses))])
-		if err != nil {
+		a := c.send(http.MethodPost, path, bytes.Repeat([]byte("x"), 300), time.Until(end))
+		if a == nil {
 			return made
 		}
-		a := c.send(http.MethodPost, path, bytes.Repeat([]byte("x"), 300), time.Until(end))
-		_ = c.Close()
 		made = append(made, a)
-		d.rec.write("consumer sent %s to %s: status %d after %d ms, error %v", a.id, a.front, a.status, a.endedAt.Sub(a.sentAt).Milliseconds(), a.err)
+		c.d.rec.write("consumer sent %s to %s: status %d after %d ms, error %v", a.id, a.front, a.status, a.endedAt.Sub(a.sentAt).Milliseconds(), a.err)
 		if !promise(a.status) {
 			return made
 		}
 		time.Sleep(min(a.retryAfter(), time.Until(end)/3))
+		if time.Until(end) < minTimeLeft {
+			return made
+		}
 	}
 	return made
 }
