Log the connection on which each attempt was sent

The lines of a request that ran twice did not tell whether its target had run what it had refused, whether the host had sent it again though its outcome was unknown, or whether an answer had been taken for that of another attempt. The entries of sends now end with the number of the connection, if this host sent the attempt itself.

--- a/internal/serving/exchange/conn.go
+++ b/internal/serving/exchange/conn.go
@@ -27,6 +27,8 @@
 
 // conn is a persistent connection to a target.
 type conn struct {
+	// number distinguishes the connections of a pool.
+	number      uint64
 	raw         net.Conn
 	source      *answerReader
 	reader      *bufio.Reader
@@ -42,9 +44,9 @@
 }
 
 // newConn returns a connection that calls onRead with the number of bytes of each read.
-func newConn(raw net.Conn, onRead func(n int)) *conn {
+func newConn(number uint64, raw net.Conn, onRead func(n int)) *conn {
 	source := &answerReader{source: raw, onRead: onRead}
-	return &conn{raw: raw, source: source, reader: bufio.NewReaderSize(source, 2048), idleTimeout: maxIdleTime}
+	return &conn{number: number, raw: raw, source: source, reader: bufio.NewReaderSize(source, 2048), idleTimeout: maxIdleTime}
 }
 
 // updateReuse sets the idle timeout from the Keep-Alive field of an answer, and noReuse
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -88,6 +88,9 @@
 	TimedOut bool
 	// Statement is what the target says of itself in the answer.
 	Statement Statement
+	// Conn numbers the connection of this host on which the request was sent, from 1; 0 if
+	// there was none, or if another host sent the request.
+	Conn uint64
 	// Err is the connection error, if there was one.
 	Err error
 }
--- a/internal/serving/exchange/pool.go
+++ b/internal/serving/exchange/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -65,8 +66,10 @@
 	dial     DialFunc
 	protocol Protocol
 	// onOpen is called after each connection is opened.
-	onOpen  func()
-	meter   *traffic.Meter
+	onOpen func()
+	meter  *traffic.Meter
+	// opened is the number of connections that were opened.
+	opened  atomic.Uint64
 	mu      sync.Mutex
 	targets map[string]*targetConns
 }
@@ -209,7 +212,7 @@
 		return nil, dialFailure(ctx, err), false
 	}
 	p.onOpen()
-	return newConn(raw, func(n int) { p.meter.Received(traffic.Part, t.scope(), n) }), Reply{}, true
+	return newConn(p.opened.Add(1), raw, func(n int) { p.meter.Received(traffic.Part, t.scope(), n) }), Reply{}, true
 }
 
 // dialFailure returns the reply for a connection that could not be opened.
@@ -254,6 +257,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
 	began := time.Now()
 	r := p.roundTrip(c, t, req, remaining)
+	r.Conn = c.number
 	fraction := float64(time.Since(began)) / float64(remaining)
 	if !stop() {
 		c.noReuse = true
--- a/internal/serving/gateway/answer.go
+++ b/internal/serving/gateway/answer.go
@@ -108,6 +108,17 @@
 	cause        search.Reason
 	outcome      string
 	latency      time.Duration
+	// conn is the number of the connection to the target, or 0.
+	conn uint64
+}
+
+// String returns the attempt as it is logged.
+func (l loggedAttempt) String() string {
+	text := fmt.Sprintf("%d/%d:%s:%s:%s:%dms", l.part, l.number, l.target, l.cause, l.outcome, l.latency.Milliseconds())
+	if l.conn == 0 {
+		return text
+	}
+	return fmt.Sprintf("%s:conn-%d", text, l.conn)
 }
 
 // maxLoggedAttempts is the maximum number of attempts that are logged for a request.
@@ -125,7 +136,7 @@
 	}
 	r.loggedAttempts = append(r.loggedAttempts, loggedAttempt{
 		part: result.attempt.Part, number: result.attempt.Number, target: result.attempt.Target,
-		cause: result.attempt.Reason, outcome: outcome, latency: result.latency,
+		cause: result.attempt.Reason, outcome: outcome, latency: result.latency, conn: result.reply.Conn,
 	})
 }
 
@@ -134,7 +145,7 @@
 func (r *activeRequest) logOutcome(a Answer) {
 	var loggedAttempts, missing strings.Builder
 	for _, l := range r.loggedAttempts {
-		fmt.Fprintf(&loggedAttempts, "%d/%d:%s:%s:%s:%dms ", l.part, l.number, l.target, l.cause, l.outcome, l.latency.Milliseconds())
+		fmt.Fprintf(&loggedAttempts, "%s ", l)
 	}
 	if a.Kind != Served {
 		r.search.EachMissing(func(part int, tried []string) {
