Send a request only once over a connection

Cause: an answer is matched by the ID of the request, which all attempts of a request share. The pool gave a later attempt the connection that an earlier one had just returned, where a late second copy of the refusal counts as the refusal of the attempt that runs.

Evidence: the lines of such a request name the same connection for both attempts, and the record of the target has the copy between them. Ruled out by the same lines: a target that runs what it refused (it refused once), and a request sent again while its outcome was unknown (each attempt ended as not run before the next).

Change: a request records the connections that have carried it, and the pool does not give it one of them again. It takes another idle one or opens one; at the limit of the target it closes an idle one first. A copy then meets another ID and is skipped, however late it is.

TestPoolSendsNonIdempotentRequestOnRecentlyUsedConnection and BenchmarkExchange sent one Request over and over, which stands for attempts of one request and may not share a connection any more; they now make a Request each time, with the same ID and checks.

--- a/internal/serving/exchange/answer_test.go
+++ b/internal/serving/exchange/answer_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -132,3 +134,126 @@
 		}
 	}
 }
+
+// copyingTarget is a target that gives its first answer to the first request and goodAnswer to
+// the others. If a connection carries a request again, it sends a second copy of its earlier
+// answer to it first.
+type copyingTarget struct {
+	listener net.Listener
+	first    string
+	requests atomic.Int64
+}
+
+func startCopyingTarget(t *testing.T, first string) *copyingTarget {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	c := &copyingTarget{listener: l, first: first}
+	go func() {
+		for {
+			raw, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go c.serve(raw)
+		}
+	}()
+	return c
+}
+
+func (c *copyingTarget) serve(raw net.Conn) {
+	defer func() { _ = raw.Close() }()
+	in, earlier := bufio.NewReader(raw), map[string]string{}
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		answer := goodAnswer
+		if c.requests.Add(1) == 1 {
+			answer = c.first
+		}
+		id := r.Header.Get("Id")
+		answer = strings.ReplaceAll(answer, "ID", id)
+		_, _ = io.WriteString(raw, earlier[id]+answer)
+		earlier[id] = answer
+	}
+}
+
+func (c *copyingTarget) target() exchange.Target {
+	return exchange.Target{ID: "t", Address: c.listener.Addr().String()}
+}
+
+// TestLateCopyIsNotTheNextAttempt sends a request again to a target that repeats its answer to
+// the first attempt. The ID does not tell the copy from the answer to the next attempt; if the
+// copy of a refusal is taken for it, the request counts as not run while it runs.
+func TestLateCopyIsNotTheNextAttempt(t *testing.T) {
+	for name, first := range map[string]string{
+		"refusal": "HTTP/1.1 503 Busy\r\nId: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"failure": "HTTP/1.1 500 Broken\r\nId: ID\r\nStamp: s\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for _, maxConns := range []int{1, 3} {
+			t.Run(fmt.Sprint(name, ", connections: ", maxConns), func(t *testing.T) {
+				s := startCopyingTarget(t, first)
+				p := newPool()
+				p.SetMaxConns("t", maxConns)
+				req := newRequest("1")
+				req.NonIdempotent = true
+				earlier := p.Do(t.Context(), s.target(), req, oneSecond)
+				assert.NotEqual(t, search.Good, earlier.Outcome)
+				between := p.Do(t.Context(), s.target(), newRequest("2"), oneSecond)
+				assert.Equal(t, search.Good, between.Outcome, between.Reason)
+				got := p.Do(t.Context(), s.target(), req, oneSecond)
+				assert.Equal(t, search.Good, got.Outcome, got.Reason)
+				assert.Equal(t, int64(3), s.requests.Load())
+				assert.NotEqual(t, earlier.Conn, got.Conn)
+			})
+		}
+	}
+}
+
+// TestRequestIsSentAgainOnIdleConnection sends a request again while two connections are idle.
+// It must use the one that has not carried it, and open none.
+func TestRequestIsSentAgainOnIdleConnection(t *testing.T) {
+	s := startTarget(t, goodAnswer)
+	p := newPool()
+	p.SetMaxConns("t", 4)
+	var both sync.WaitGroup
+	for range 2 {
+		both.Go(func() {
+			p.Do(t.Context(), s.target(), newRequest("1"), func() time.Duration {
+				time.Sleep(50 * time.Millisecond)
+				return time.Second
+			})
+		})
+	}
+	both.Wait()
+	require.Equal(t, int64(2), s.accepted.Load())
+	req, conns := newRequest("2"), map[uint64]bool{}
+	for range 2 {
+		got := p.Do(t.Context(), s.target(), req, oneSecond)
+		assert.Equal(t, search.Good, got.Outcome, got.Reason)
+		conns[got.Conn] = true
+	}
+	assert.Len(t, conns, 2)
+	assert.Equal(t, int64(2), s.accepted.Load(), "an idle connection is used before a new one is opened")
+	got := p.Do(t.Context(), s.target(), req, oneSecond)
+	assert.Equal(t, search.Good, got.Outcome, got.Reason)
+	assert.Equal(t, int64(3), s.accepted.Load())
+}
+
+// TestRequestSentAgainOpensNoConnectionAboveLimit sends a request again while all connections
+// that the target allows are open and have carried it. One of them must be closed before
+// another is opened.
+func TestRequestSentAgainOpensNoConnectionAboveLimit(t *testing.T) {
+	s := startTarget(t, goodAnswer)
+	p := newPool()
+	p.SetMaxConns("t", 1)
+	req := newRequest("1")
+	for range 5 {
+		got := p.Do(t.Context(), s.target(), req, oneSecond)
+		assert.Equal(t, search.Good, got.Outcome, got.Reason)
+	}
+	assert.Equal(t, int64(5), s.accepted.Load())
+	assert.Eventually(t, func() bool { return s.accepted.Load()-s.closed.Load() == 1 }, time.Second, time.Millisecond)
+}
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -29,7 +29,8 @@
 }
 
 // Request is a request of a caller that is forwarded to targets. It must not be modified
-// after its first use.
+// after its first use. All attempts that a host makes with an ID share one Request, which
+// records the connections that have carried it.
 type Request struct {
 	ID     string
 	Method string
@@ -44,6 +45,30 @@
 
 	headOnce sync.Once
 	head     []byte
+
+	mu sync.Mutex
+	// sentOn holds the numbers of the connections on which the request was sent.
+	sentOn map[uint64]struct{}
+}
+
+// recordSentOn records that the request is about to be sent on a connection.
+func (req *Request) recordSentOn(c *conn) {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	if req.sentOn == nil {
+		req.sentOn = map[uint64]struct{}{}
+	}
+	req.sentOn[c.number] = struct{}{}
+}
+
+// wasSentOn reports whether the request was sent on a connection. It must not be sent there
+// again: a target may send a second copy of an answer late, and the ID of the request does
+// not tell the copy from the answer to a later attempt.
+func (req *Request) wasSentOn(c *conn) bool {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	_, ok := req.sentOn[c.number]
+	return ok
 }
 
 // requestHead returns the request line and the caller's header fields, without those
--- a/internal/serving/exchange/pool.go
+++ b/internal/serving/exchange/pool.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -160,26 +161,38 @@
 	}
 }
 
-// idleConn returns an idle connection, or nil if the caller is to open one. It closes
-// connections that have been idle for maxIdle or longer.
-func (p *Pool) idleConn(id string, maxIdle time.Duration) *conn {
+// idleConn returns the idle connection that was used last of those that have not carried the
+// request, or nil if the caller is to open one. It closes connections that have been idle for
+// maxIdle or longer.
+func (p *Pool) idleConn(id string, req *Request, maxIdle time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	tc := p.targetConns(id)
 	now := time.Now()
-	for n := len(tc.idle); n > 0; n = len(tc.idle) {
-		c := tc.idle[n-1]
-		tc.idle = tc.idle[:n-1]
-		if now.Sub(c.lastUsed) < maxIdle && c.usable(now) {
+	for i := len(tc.idle) - 1; i >= 0; i-- {
+		c := tc.idle[i]
+		switch {
+		case now.Sub(c.lastUsed) >= maxIdle || !c.usable(now):
+			tc.closeIdle(i)
+		case !req.wasSentOn(c):
+			tc.idle = slices.Delete(tc.idle, i, i+1)
 			return c
 		}
-		_ = c.raw.Close()
-		tc.open--
+	}
+	if len(tc.idle) > 0 && tc.open >= tc.maxOpen {
+		tc.closeIdle(0)
 	}
 	tc.open++
 	return nil
 }
 
+// closeIdle closes an idle connection.
+func (tc *targetConns) closeIdle(i int) {
+	_ = tc.idle[i].raw.Close()
+	tc.idle = slices.Delete(tc.idle, i, i+1)
+	tc.open--
+}
+
 // release returns a connection to the pool, or closes it if it is not to be reused. A
 // nil connection stands for one that could not be opened.
 func (p *Pool) release(id string, c *conn, reuse bool) {
@@ -198,12 +211,12 @@
 }
 
 // acquire returns a connection to the target, or the reply to return and false.
-func (p *Pool) acquire(ctx context.Context, t Target, nonIdempotent bool) (*conn, Reply, bool) {
+func (p *Pool) acquire(ctx context.Context, t Target, req *Request) (*conn, Reply, bool) {
 	maxIdle := maxIdleTime
-	if nonIdempotent {
+	if req.NonIdempotent {
 		maxIdle = maxNonIdempotentIdleTime
 	}
-	if c := p.idleConn(t.ID, maxIdle); c != nil {
+	if c := p.idleConn(t.ID, req, maxIdle); c != nil {
 		return c, Reply{}, true
 	}
 	raw, err := p.dial(ctx, t.Address)
@@ -245,7 +258,7 @@
 // send sends a request over an idle or a new connection. It returns the result and the
 // fraction of the remaining time that the target took.
 func (p *Pool) send(ctx context.Context, t Target, req *Request, left func() time.Duration) (Reply, float64) {
-	c, failed, ok := p.acquire(ctx, t, req.NonIdempotent)
+	c, failed, ok := p.acquire(ctx, t, req)
 	if !ok {
 		return failed, 0
 	}
@@ -254,6 +267,7 @@
 		p.release(t.ID, c, true)
 		return Reply{Outcome: search.NotSent, Reason: reasonCancelled, LocalFailure: true}, 0
 	}
+	req.recordSentOn(c)
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
 	began := time.Now()
 	r := p.roundTrip(c, t, req, remaining)
--- a/internal/serving/exchange/pool_test.go
+++ b/internal/serving/exchange/pool_test.go
@@ -303,16 +303,15 @@
 		}
 	}()
 	p := newPool()
-	req := newRequest("1")
 	to := exchange.Target{ID: "t", Address: l.Addr().String()}
 	for range 3 {
+		req := newRequest("1")
 		req.NonIdempotent = true
 		got := p.Do(t.Context(), to, req, oneSecond)
 		assert.Equal(t, search.Good, got.Outcome, got.Err)
 		time.Sleep(idle + 50*time.Millisecond)
 	}
-	req.NonIdempotent = false
-	got := p.Do(t.Context(), to, req, oneSecond)
+	got := p.Do(t.Context(), to, newRequest("1"), oneSecond)
 	assert.Equal(t, search.Unknown, got.Outcome, "an idempotent request is sent on any idle connection, since it can be retried")
 }
 
@@ -370,10 +369,9 @@
 	}()
 	p := newPool()
 	t := exchange.Target{ID: "t", Address: l.Addr().String()}
-	req := newRequest("1")
 	b.ReportAllocs()
 	for b.Loop() {
-		if r := p.Do(b.Context(), t, req, oneSecond); r.Outcome != search.Good {
+		if r := p.Do(b.Context(), t, newRequest("1"), oneSecond); r.Outcome != search.Good {
 			b.Fatal(r.Err)
 		}
 	}
