Bound the memory of all answers that a host holds

What callers would see: operators of a similar system reported targets that sent bytes without end; the host that had called them ran out of memory, and the requests of all callers on it ended with it.

Cause: one answer was bounded (64 KB of head, 8 MB of body), the sum of those that are read at once was not.

Change: the answers of all targets share a quarter of the host's memory, held from the first byte until the caller has the answer, or the results of a relayed request are sent. A target may hold as much as is left free for all others, so that targets that send too much always leave room for answers of the usual length, without a fixed share that is too small for a long one. An answer without room ends as no-room: the connection is closed, the target counts as failing, and the request may have run. Memory is taken before a buffer grows. Headers, refusals and failed parts are not kept any more until their request ends. Requests to single targets, parts, hedges and relayed parts all read through this one place.

BenchmarkExchange ends its requests, whose answers would fill the memory otherwise. Not covered: bodies of callers, messages of hosts, lists of the store; fescuerill serve.

--- a/internal/serving/exchange/answer.go
+++ b/internal/serving/exchange/answer.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 
@@ -20,6 +19,9 @@
 	// maxPreallocBytes is the length up to which a buffer for a body is allocated before
 	// the body has arrived, because the length is stated by the target.
 	maxPreallocBytes = 64 << 10
+	// minBodyBuffer is the first size of the buffer for a longer body, or one of unknown
+	// length.
+	minBodyBuffer = 512
 	// maxMismatchedAnswers is the number of answers to other requests that are skipped
 	// before the read fails.
 	maxMismatchedAnswers = 2
@@ -30,15 +32,23 @@
 var errAnswerTooLong = errors.New("answer exceeds the size limit")
 
 // answerReader reads from a connection and fails with errAnswerTooLong after the bytes that
-// are allowed. A target in trouble may send bytes without end.
+// are allowed, and with errNoRoom if there is no memory for a head. A target in trouble may
+// send bytes without end.
 type answerReader struct {
 	source io.Reader
 	onRead func(n int)
 	left   int
+	// inHead is set while a head is read, for which memory is held as it arrives.
+	inHead bool
+	// holding is the memory of the answer that is read.
+	holding holding
 }
 
-// allow sets the number of bytes that may be read from now on.
-func (a *answerReader) allow(n int) { a.left = n }
+// beginHead allows maxHeadBytes from now on.
+func (a *answerReader) beginHead() { a.left, a.inHead = maxHeadBytes, true }
+
+// beginBody allows maxReceivedBodyBytes from now on.
+func (a *answerReader) beginBody() { a.left, a.inHead = maxReceivedBodyBytes, false }
 
 // Read implements io.Reader.
 func (a *answerReader) Read(b []byte) (int, error) {
@@ -48,14 +58,20 @@
 	n, err := a.source.Read(b[:min(len(b), a.left)])
 	a.left -= n
 	a.onRead(n)
+	if a.inHead {
+		if noRoom := a.holding.add(n * headCost); noRoom != nil {
+			return 0, noRoom
+		}
+	}
 	return n, err
 }
 
 // read reads the answer to the request: its status, header and body. It skips answers
-// to other requests; the connection is not reused after one.
+// to other requests; the connection is not reused after one. The memory of the answer is in
+// c.source.holding, also if the read fails.
 func (c *conn) read(req *Request, p Protocol) (Reply, error) {
 	request := &http.Request{Method: req.Method}
-	c.source.allow(maxHeadBytes)
+	c.source.beginHead()
 	for mismatched := 0; ; {
 		r, err := http.ReadResponse(c.reader, request)
 		if errors.Is(err, io.ErrUnexpectedEOF) {
@@ -68,8 +84,8 @@
 		if r.StatusCode < http.StatusOK {
 			continue
 		}
-		c.source.allow(maxReceivedBodyBytes)
-		body, err := readBody(r)
+		c.source.beginBody()
+		body, err := readBody(r, &c.source.holding)
 		if err != nil {
 			return Reply{}, err
 		}
@@ -83,7 +99,8 @@
 		if mismatched++; mismatched > maxMismatchedAnswers || r.Close {
 			return Reply{}, errMismatchedAnswers
 		}
-		c.source.allow(maxHeadBytes)
+		c.source.holding.reduceTo(0)
+		c.source.beginHead()
 	}
 }
 
@@ -98,30 +115,63 @@
 	return id == req.ID
 }
 
-// readBody returns the body of an answer, or errAnswerTooLong. It closes only a body that
-// was read to its end: closing reads the rest of a body that is too long, which may never
-// end.
-func readBody(r *http.Response) ([]byte, error) {
-	body, err := readToEnd(r)
+// readBody returns the body of an answer, or errAnswerTooLong or errNoRoom. It closes only a
+// body that was read to its end: closing reads the rest of a body that is too long, which may
+// never end.
+func readBody(r *http.Response, h *holding) ([]byte, error) {
+	body, err := readToEnd(r, h)
 	if err != nil {
 		return nil, err
 	}
 	return body, r.Body.Close()
 }
 
-func readToEnd(r *http.Response) ([]byte, error) {
+func readToEnd(r *http.Response, h *holding) ([]byte, error) {
 	if r.ContentLength > maxAnswerBytes {
 		return nil, errAnswerTooLong
 	}
 	if 0 <= r.ContentLength && r.ContentLength <= maxPreallocBytes {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
+		body, err := h.enlarge(nil, int(r.ContentLength))
+		if err != nil {
+			return nil, err
+		}
+		body = body[:r.ContentLength]
+		_, err = io.ReadFull(r.Body, body)
 		return body, err
 	}
-	var b bytes.Buffer
-	n, err := io.Copy(&b, io.LimitReader(r.Body, maxAnswerBytes+1))
-	if err == nil && n > maxAnswerBytes {
-		err = errAnswerTooLong
+	return readGrowing(r.Body, h)
+}
+
+// readGrowing reads a body into a buffer that grows with it.
+func readGrowing(r io.Reader, h *holding) ([]byte, error) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			if len(body) > maxAnswerBytes {
+				return nil, errAnswerTooLong
+			}
+			larger, err := h.enlarge(body, nextBufferSize(cap(body)))
+			if err != nil {
+				return nil, err
+			}
+			body = larger
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// nextBufferSize returns the size of the buffer for a body that has filled one of n bytes. The
+// largest has a byte more than is accepted.
+func nextBufferSize(n int) int {
+	if 2*n >= maxAnswerBytes {
+		return maxAnswerBytes + 1
 	}
-	return b.Bytes(), err
+	return max(minBodyBuffer, 2*n)
 }
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -42,6 +42,9 @@
 	// NonIdempotent is set if the request must not run more than once, so that it cannot be
 	// sent again if the target drops the connection.
 	NonIdempotent bool
+	// IsPart is set if the answers are parts of the answer to a search. Of those only the
+	// bodies of the good ones are kept, and no header.
+	IsPart bool
 
 	headOnce sync.Once
 	head     []byte
@@ -49,6 +52,44 @@
 	mu sync.Mutex
 	// sentOn holds the numbers of the connections on which the request was sent.
 	sentOn map[uint64]struct{}
+	// holdings is the memory of the answers that are kept, and ended is set once none is.
+	holdings []holding
+	ended    bool
+}
+
+// End releases the memory of the answers. It is called when they are not used any more; those
+// that arrive later have no body.
+func (req *Request) End() {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	req.ended = true
+	for _, h := range req.holdings {
+		h.reduceTo(0)
+	}
+	req.holdings = nil
+}
+
+// keep takes over the memory of a reply until the request ends, and drops what is not needed
+// of the reply.
+func (req *Request) keep(r *Reply, h *holding) {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	if req.ended || !req.needs(r) {
+		r.Header, r.Body = nil, nil
+		h.reduceTo(0)
+		return
+	}
+	if req.IsPart {
+		r.Header = nil
+		h.reduceTo(cap(r.Body))
+	}
+	req.holdings = append(req.holdings, *h)
+	*h = holding{account: h.account}
+}
+
+// needs reports whether the header or the body of a reply may be used.
+func (req *Request) needs(r *Reply) bool {
+	return r.Outcome == search.Good || r.Outcome == search.Failed && !req.IsPart
 }
 
 // recordSentOn records that the request is about to be sent on a connection.
@@ -161,6 +202,7 @@
 	reasonCancelled        = "cancelled"
 	reasonAnswerTooLong    = "answer-too-long"
 	reasonCrossedAnswers   = "crossed-answers"
+	reasonNoRoom           = "no-room"
 )
 
 const (
--- /dev/null
+++ b/internal/serving/exchange/memory.go
@@ -0,0 +1,95 @@
+package exchange
+
+import (
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// defaultAnswerMemory bounds the memory for answers if no other bound is set, in bytes.
+	defaultAnswerMemory = 64 << 20
+	// minAnswerMemory is the least bound that can be set, so that one answer of
+	// maxAnswerBytes can be read while its buffer grows.
+	minAnswerMemory = 4 * maxAnswerBytes
+	// headCost is the memory that a byte of a head counts for: short fields take several
+	// times their length once they are parsed.
+	headCost = 8
+)
+
+// errNoRoom is returned for an answer that would hold more memory than its target may.
+var errNoRoom = errors.New("no memory left for the answer")
+
+// answerMemory bounds the memory of the answers of all targets, from the first byte that is
+// read to the end of their requests. It is safe for concurrent use.
+type answerMemory struct {
+	limit atomic.Int64
+	held  atomic.Int64
+}
+
+// setLimit sets the bound in bytes; 0 stands for defaultAnswerMemory.
+func (m *answerMemory) setLimit(n int64) {
+	if n == 0 {
+		n = defaultAnswerMemory
+	}
+	m.limit.Store(max(n, minAnswerMemory))
+}
+
+// account is the memory that the answers of one target hold.
+type account struct {
+	memory *answerMemory
+	held   atomic.Int64
+}
+
+// take takes n bytes and reports whether there is room. A target may hold as much as is left
+// for all others: however many targets send too much, they leave as much free as each of them
+// holds, and answers of the usual length fit in.
+func (a *account) take(n int) bool {
+	held := a.held.Add(int64(n))
+	free := a.memory.limit.Load() - a.memory.held.Add(int64(n))
+	if held <= free {
+		return true
+	}
+	a.giveBack(n)
+	return false
+}
+
+// giveBack returns n bytes.
+func (a *account) giveBack(n int) {
+	a.held.Add(int64(-n))
+	a.memory.held.Add(int64(-n))
+}
+
+// holding is the memory that one answer holds. The zero value holds none and has no account.
+type holding struct {
+	account *account
+	bytes   int
+}
+
+// add takes n more bytes.
+func (h *holding) add(n int) error {
+	if !h.account.take(n) {
+		return errNoRoom
+	}
+	h.bytes += n
+	return nil
+}
+
+// reduceTo returns all but n bytes.
+func (h *holding) reduceTo(n int) {
+	if n < h.bytes {
+		h.account.giveBack(h.bytes - n)
+		h.bytes = n
+	}
+}
+
+// enlarge returns a buffer with the content of b and a capacity of n bytes. Until the content
+// is copied, the memory of both is held.
+func (h *holding) enlarge(b []byte, n int) ([]byte, error) {
+	if err := h.add(n); err != nil {
+		return nil, err
+	}
+	larger := append(make([]byte, 0, n), b...)
+	h.reduceTo(h.bytes - cap(b))
+	return larger, nil
+}
--- a/internal/serving/exchange/pool.go
+++ b/internal/serving/exchange/pool.go
@@ -71,6 +71,7 @@
 	meter  *traffic.Meter
 	// opened is the number of connections that were opened.
 	opened  atomic.Uint64
+	memory  answerMemory
 	mu      sync.Mutex
 	targets map[string]*targetConns
 }
@@ -80,6 +81,7 @@
 	idle    []*conn
 	open    int
 	maxOpen int
+	account *account
 	queue   dispatch.Queue[chan bool]
 }
 
@@ -87,13 +89,22 @@
 func (p *Pool) Reset(dial DialFunc, protocol Protocol, onOpen func(), meter *traffic.Meter) {
 	p.dial, p.protocol, p.onOpen, p.meter = dial, protocol, onOpen, meter
 	p.targets = map[string]*targetConns{}
+	p.memory.setLimit(0)
 }
 
+// SetMemoryLimit bounds the memory in bytes for the answers of all targets that are read, or
+// that are kept until their requests end; 0 stands for a default. An answer for which there is
+// no room is not read to its end.
+func (p *Pool) SetMemoryLimit(n int64) { p.memory.setLimit(n) }
+
+// HeldMemory returns the memory in bytes that answers hold now.
+func (p *Pool) HeldMemory() int64 { return p.memory.held.Load() }
+
 // targetConns returns the connections to a target, and adds an entry if there is none.
 func (p *Pool) targetConns(id string) *targetConns {
 	tc := p.targets[id]
 	if tc == nil {
-		tc = &targetConns{}
+		tc = &targetConns{account: &account{memory: &p.memory}}
 		tc.queue.Reset(1)
 		tc.setMaxOpen(1)
 		p.targets[id] = tc
@@ -225,7 +236,14 @@
 		return nil, dialFailure(ctx, err), false
 	}
 	p.onOpen()
-	return newConn(p.opened.Add(1), raw, func(n int) { p.meter.Received(traffic.Part, t.scope(), n) }), Reply{}, true
+	return newConn(p.opened.Add(1), raw, p.account(t.ID), func(n int) { p.meter.Received(traffic.Part, t.scope(), n) }), Reply{}, true
+}
+
+// account returns the account of a target's answers.
+func (p *Pool) account(id string) *account {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.targetConns(id).account
 }
 
 // dialFailure returns the reply for a connection that could not be opened.
@@ -272,6 +290,7 @@
 	began := time.Now()
 	r := p.roundTrip(c, t, req, remaining)
 	r.Conn = c.number
+	req.keep(&r, &c.source.holding)
 	fraction := float64(time.Since(began)) / float64(remaining)
 	if !stop() {
 		c.noReuse = true
@@ -310,6 +329,8 @@
 	switch {
 	case errors.Is(err, errAnswerTooLong):
 		return reasonAnswerTooLong
+	case errors.Is(err, errNoRoom):
+		return reasonNoRoom
 	case errors.Is(err, errMismatchedAnswers):
 		return reasonCrossedAnswers
 	case errors.Is(err, io.ErrUnexpectedEOF):
--- a/internal/serving/exchange/pool_test.go
+++ b/internal/serving/exchange/pool_test.go
@@ -371,8 +371,10 @@
 	t := exchange.Target{ID: "t", Address: l.Addr().String()}
 	b.ReportAllocs()
 	for b.Loop() {
-		if r := p.Do(b.Context(), t, newRequest("1"), oneSecond); r.Outcome != search.Good {
+		req := newRequest("1")
+		if r := p.Do(b.Context(), t, req, oneSecond); r.Outcome != search.Good {
 			b.Fatal(r.Err)
 		}
+		req.End()
 	}
 }
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -112,9 +112,12 @@
 	Protocol   exchange.Protocol
 	Dial       exchange.DialFunc
 	Bounds     Bounds
-	Random     *rand.Rand
-	Log        *slog.Logger
-	Stats      *stats.Registry
+	// AnswerMemory bounds the memory in bytes for the answers of targets; 0 stands for a
+	// default.
+	AnswerMemory int64
+	Random       *rand.Rand
+	Log          *slog.Logger
+	Stats        *stats.Registry
 	// Traffic counts the bytes of parts, sent by this host or through others.
 	Traffic *traffic.Meter
 }
@@ -129,6 +132,7 @@
 	g.relays.Reset(ctx, o.Log, o.Traffic)
 	g.limiter.Reset(maxSearches, limitCutPeriod)
 	g.pool.Reset(o.Dial, o.Protocol, func() { g.stats.Add("target-connections-opened", 1) }, o.Traffic)
+	g.pool.SetMemoryLimit(o.AnswerMemory)
 	return g
 }
 
--- a/internal/serving/gateway/gauges.go
+++ b/internal/serving/gateway/gauges.go
@@ -41,8 +41,8 @@
 }
 
 // UpdateGauges sets the gauges of the gateway: the targets in each state, the additional
-// requests that the retry budgets still allow, and the limit and number of searches in
-// flight.
+// requests that the retry budgets still allow, the memory of answers, and the limit and number
+// of searches in flight.
 func (g *Gateway) UpdateGauges(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -54,6 +54,7 @@
 	for service, w := range g.retryBudgets {
 		g.stats.SetGauge("retry-budget-left-"+service, w.Available(now))
 	}
+	g.stats.SetGauge("answer-bytes-held", int(g.pool.HeldMemory()))
 	g.stats.SetGauge("search-limit", g.limiter.Limit())
 	g.stats.SetGauge("searches-running", g.limiter.InFlight())
 }
--- a/internal/serving/gateway/request.go
+++ b/internal/serving/gateway/request.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"fescuerill/internal/serving/exchange"
 )
 
 // Request is a request of a caller. Its ID is unique; a caller that retries uses a new
@@ -64,4 +66,15 @@
 	RetryAfter time.Duration
 	// Reason is the reason why there is no answer, in kebab case.
 	Reason string
+
+	// outgoing is the request to the targets if their answer is passed on; else nil.
+	outgoing *exchange.Request
+}
+
+// Release releases the memory of the answer. The caller must call it when it has sent the
+// answer, and not use the answer afterwards.
+func (a *Answer) Release() {
+	if a.outgoing != nil {
+		a.outgoing.End()
+	}
 }
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -53,8 +53,8 @@
 	latency time.Duration
 }
 
-// Serve serves a request and returns its answer. It returns early with CallerLeft when
-// ctx ends, because the caller has disconnected then.
+// Serve serves a request and returns its answer, which has to be released. It returns early
+// with CallerLeft when ctx ends, because the caller has disconnected then.
 func (g *Gateway) Serve(ctx context.Context, req *Request) Answer {
 	m := g.manifest.Load()
 	if m == nil {
@@ -79,7 +79,20 @@
 	}
 	r := g.newActiveRequest(req, m, route)
 	defer func() { r.releaseAdmission(time.Now()) }()
-	return r.serve(ctx)
+	a := r.serve(ctx)
+	r.releaseReplies(&a)
+	return a
+}
+
+// releaseReplies drops the replies of the targets. Their memory is released here, or with the
+// answer if it is one of them.
+func (r *activeRequest) releaseReplies(a *Answer) {
+	r.replies, r.lastFailure = nil, nil
+	if a.Kind == Served {
+		a.outgoing = &r.outgoing
+		return
+	}
+	r.outgoing.End()
 }
 
 // refuse returns the answer for a request that is refused on arrival.
@@ -109,7 +122,7 @@
 	}
 	r.replies = make([]exchange.Reply, r.plan.Parts)
 	r.results = make(chan []attemptResult, r.plan.Parts*(r.plan.MaxTargets+4))
-	r.outgoing = exchange.Request{ID: req.ID, Method: req.Method, URI: req.URI, Host: req.Host, Header: req.Header, Body: req.Body, NonIdempotent: !route.Idempotent}
+	r.outgoing = exchange.Request{ID: req.ID, Method: req.Method, URI: req.URI, Host: req.Host, Header: req.Header, Body: req.Body, NonIdempotent: !route.Idempotent, IsPart: route.IsSearch()}
 	r.ctx, r.cancel = context.WithCancelCause(context.Background())
 	return r
 }
--- a/internal/serving/relay/message.go
+++ b/internal/serving/relay/message.go
@@ -85,7 +85,7 @@
 func decodeRequest(now time.Time, m wire.Request) Request {
 	at := func(us int) time.Time { return now.Add(microseconds(us)) }
 	req := Request{
-		CallerRequest: &exchange.Request{ID: m.ID, Method: m.Method, URI: m.Uri, Host: m.Host, Header: map[string][]string(m.Header)},
+		CallerRequest: &exchange.Request{ID: m.ID, Method: m.Method, URI: m.Uri, Host: m.Host, Header: map[string][]string(m.Header), IsPart: true},
 		Targets:       m.Targets, MaxRecords: m.Top, FlushTime: at(m.FlushUs), Deadline: at(m.EndUs),
 	}
 	if m.SettleUs > 0 {
--- a/internal/serving/relay/serve.go
+++ b/internal/serving/relay/serve.go
@@ -109,6 +109,7 @@
 	}
 	go func() {
 		s.collect(m.Number, req, results)
+		req.CallerRequest.End()
 		s.mu.Lock()
 		delete(s.cancels, m.Number)
 		s.mu.Unlock()
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -31,6 +31,9 @@
 	// memoryLimitShare is the share of the memory that is set as the soft memory limit of
 	// the Go runtime, close to which it collects garbage at any CPU cost.
 	memoryLimitShare = 0.7
+	// answerMemoryShare is the share of the memory for the answers of targets. As much garbage
+	// may remain of them until it is collected.
+	answerMemoryShare = 0.25
 	// gcPercent is the garbage collection target: the growth of the heap, in per cent,
 	// that starts a collection.
 	gcPercent = 100
@@ -145,7 +148,8 @@
 	s.gateway = gateway.New(ctx, gateway.Options{
 		DataCentre: s.settings.DataCentre, Fleet: fleet{Peers: s.peers, server: s}, Decoder: s.platform, Protocol: s.platform,
 		Dial: exchange.DialTCP, Bounds: s.settings.Bounds,
-		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: s.log, Stats: s.stats, Traffic: &s.meter,
+		AnswerMemory: int64(answerMemoryShare * float64(s.settings.MemoryBytes)),
+		Random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: s.log, Stats: s.stats, Traffic: &s.meter,
 	})
 	if s.settings.RelayAddress != "" {
 		relayListener, err := lc.Listen(ctx, "tcp", s.settings.RelayAddress)
