--- a/internal/serving/gateway/answer.go
+++ b/internal/serving/gateway/answer.go
@@ -53,7 +53,7 @@
 // failureAnswer returns the answer to a failed request. If a single target serves the
 // route and its last reply was an authenticated failure, the caller gets that reply.
 func (r *activeRequest) failureAnswer(k Kind, reason string) Answer {
-	if r.lastFailure != nil && !r.route.IsSearch() && r.lastFailure.MAC != "" && k == Failed {
+	if r.lastFailure != nil && r.forwardsFailure(r.lastFailure) && k == Failed {
 		return Answer{Kind: Served, Status: r.lastFailure.Status, Header: r.lastFailure.Header, Body: r.lastFailure.Body, Reason: reason}
 	}
 	return Answer{Kind: k, Reason: reason}
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -300,9 +300,10 @@
 }
 
 // outcomeOf returns the outcome of a reply for the route. If a single target serves the
-// request, an authenticated client error (4xx) of the target is the answer.
+// request, an authenticated redirection or client error (3xx or 4xx) of the target is the
+// answer.
 func (r *activeRequest) outcomeOf(reply *exchange.Reply) search.Outcome {
-	if reply.Outcome == search.Failed && !r.route.IsSearch() && reply.MAC != "" && reply.Status < http.StatusInternalServerError {
+	if reply.Outcome == search.Failed && r.forwardsFailure(reply) && reply.Status < http.StatusInternalServerError {
 		return search.Good
 	}
 	if reply.Outcome == search.Failed {
@@ -311,6 +312,12 @@
 	return reply.Outcome
 }
 
+// forwardsFailure reports whether a failed reply may be the answer to the caller: a single
+// target serves the request, and the status is that target's and none of success.
+func (r *activeRequest) forwardsFailure(reply *exchange.Reply) bool {
+	return !r.route.IsSearch() && reply.MAC != "" && reply.Status >= http.StatusMultipleChoices
+}
+
 // tick starts the retries and hedges that are due.
 func (r *activeRequest) tick() (search.Decision, time.Time) {
 	g := r.g
