Keep to the grace period in force at a stop

Cause: a reload took over the bounds of retries and cold starts only; the stop planned with the grace period of the start. The same held for the time for which callers keep addresses, which is at most half of the grace period, and for the memory limits.

Evidence: the host logged "settings reloaded", then "stopping grace-ms=6000". TestStopKeepsToChangedGracePeriod failed with a SIGHUP and without a signal: the host was still there at the end of the shortened period.

Change: the settings that take effect without a restart stand in one type, and what uses them asks for those in force. A host reads the file again when it is told to stop, since it may change without a signal; a file that cannot be used leaves the old settings in force.

--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -74,19 +74,15 @@
 	return nil
 }
 
-// handleSignals reloads the settings on SIGHUP and stops the host on SIGTERM or SIGINT. It
-// returns when the host has stopped. A second SIGTERM or SIGINT ends the graceful stop early.
+// handleSignals reloads the settings on SIGHUP, and stops the host on SIGTERM or SIGINT. Before a
+// stop it reloads them too, since the file may change without a signal. It returns when the host
+// has stopped. A second SIGTERM or SIGINT ends the graceful stop early.
 func handleSignals(signals <-chan os.Signal, s *server.Server, file string, log *slog.Logger) {
 	for got := range signals {
+		reloadSettings(s, file, log)
 		if got != syscall.SIGHUP {
 			break
 		}
-		settings, _, err := platform.ReadSettings(file)
-		if err != nil {
-			log.Error("settings not reloaded", "error", err)
-			continue
-		}
-		s.Reload(settings)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -105,3 +101,13 @@
 	}()
 	s.Stop(ctx)
 }
+
+// reloadSettings applies the settings file. If it cannot be used, the settings stay in force.
+func reloadSettings(s *server.Server, file string, log *slog.Logger) {
+	settings, _, err := platform.ReadSettings(file)
+	if err != nil {
+		log.Error("settings not reloaded", "error", err)
+		return
+	}
+	s.Reload(settings)
+}
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -147,6 +147,10 @@
 	clear(g.retryBudgets)
 }
 
+// SetAnswerMemory changes the bound on the memory in bytes for the answers of targets; 0 stands
+// for a default.
+func (g *Gateway) SetAnswerMemory(n int64) { g.pool.SetMemoryLimit(n) }
+
 // Manifest returns the manifest in force, or nil.
 func (g *Gateway) Manifest() *manifest.Manifest { return g.manifest.Load() }
 
--- a/internal/serving/server/addresses.go
+++ b/internal/serving/server/addresses.go
@@ -138,12 +138,12 @@
 // addressTTL returns how long callers may cache addresses: at most half of the grace
 // period, so that callers have new addresses long before a stopping host ends.
 func (s *Server) addressTTL() time.Duration {
-	ttl := maxAddressTTL
-	if s.settings.GracePeriod > 0 {
-		ttl = min(ttl, s.settings.GracePeriod/2)
+	ttl, settings := maxAddressTTL, s.reloaded.Load()
+	if settings.GracePeriod > 0 {
+		ttl = min(ttl, settings.GracePeriod/2)
 	}
-	if s.settings.MaxAddressTTL > 0 {
-		ttl = min(ttl, s.settings.MaxAddressTTL)
+	if settings.MaxAddressTTL > 0 {
+		ttl = min(ttl, settings.MaxAddressTTL)
 	}
 	return ttl
 }
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -76,7 +76,9 @@
 // Server is a running host. Use Start to create one. Its methods are safe for concurrent
 // use.
 type Server struct {
-	settings      Settings
+	settings Settings
+	// reloaded holds the reloadable settings in force.
+	reloaded      atomic.Pointer[Reloadable]
 	platform      Platform
 	log           *slog.Logger
 	stats         *stats.Registry
@@ -115,10 +117,8 @@
 		settings: settings, platform: platform, log: log, stats: registry, cancel: cancel, startedAt: time.Now(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryBytes)))
-		debug.SetGCPercent(gcPercent)
-	}
+	s.reloaded.Store(&settings.Reloadable)
+	settings.limitMemory()
 	platform.SetMeter(&s.meter)
 	if err := s.start(ctx); err != nil {
 		cancel()
@@ -148,7 +148,7 @@
 	s.gateway = gateway.New(ctx, gateway.Options{
 		DataCentre: s.settings.DataCentre, Fleet: fleet{Peers: s.peers, server: s}, Decoder: s.platform, Protocol: s.platform,
 		Dial: exchange.DialTCP, Bounds: s.settings.Bounds,
-		AnswerMemory: int64(answerMemoryShare * float64(s.settings.MemoryBytes)),
+		AnswerMemory: s.settings.answerMemory(),
 		Random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: s.log, Stats: s.stats, Traffic: &s.meter,
 	})
 	if s.settings.RelayAddress != "" {
@@ -236,22 +236,38 @@
 // Ready reports whether the host can serve callers.
 func (s *Server) Ready() bool { return !s.Stopping() && s.gateway.Ready() }
 
-// Reload applies changed bounds. The other settings keep the values given to Start.
+// Reload applies changed settings that are Reloadable. The others keep the values given to
+// Start.
 func (s *Server) Reload(settings Settings) {
+	s.reloaded.Store(&settings.Reloadable)
+	settings.limitMemory()
+	s.gateway.SetAnswerMemory(settings.answerMemory())
 	s.gateway.SetBounds(settings.Bounds)
-	s.log.Info("settings reloaded", "host", settings.Name)
+	s.log.Info("settings reloaded", "host", settings.Name, "grace-ms", settings.GracePeriod.Milliseconds())
 }
 
+// limitMemory sets the soft memory limit of the Go runtime.
+func (r *Reloadable) limitMemory() {
+	if r.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(r.MemoryBytes)))
+		debug.SetGCPercent(gcPercent)
+	}
+}
+
+// answerMemory returns the memory in bytes for the answers of targets; 0 if it is not known.
+func (r *Reloadable) answerMemory() int64 { return int64(answerMemoryShare * float64(r.MemoryBytes)) }
+
 // Stop shuts the host down gracefully: its address is no longer given to callers, it serves
 // until the callers that have the address use other hosts, and it completes the requests in
 // flight. It returns early if ctx ends.
 func (s *Server) Stop(ctx context.Context) {
 	start, active := time.Now(), s.active.Load().selfActive
+	gracePeriod := s.reloaded.Load().GracePeriod
 	s.stopping.Store(true)
-	s.log.Info("stopping", "grace-ms", s.settings.GracePeriod.Milliseconds(), "running", s.gateway.InFlight())
+	s.log.Info("stopping", "grace-ms", gracePeriod.Milliseconds(), "running", s.gateway.InFlight())
 	s.peers.Leave(active)
 	addressesExpired := start.Add(addressTTLFactor*s.addressTTL() + drainQuietTime/2)
-	deadline := start.Add(max(stopMargin, s.settings.GracePeriod-stopMargin))
+	deadline := start.Add(max(stopMargin, gracePeriod-stopMargin))
 	s.gateway.SetShutdownDeadline(deadline)
 	for now := time.Now(); now.Before(deadline) && ctx.Err() == nil; now = time.Now() {
 		quiet := now.Sub(s.startedAt) - time.Duration(s.lastRequest.Load())
--- a/internal/serving/server/settings.go
+++ b/internal/serving/server/settings.go
@@ -6,7 +6,8 @@
 	"fescuerill/internal/serving/gateway"
 )
 
-// Settings holds the settings of a host.
+// Settings holds the settings of a host. Those that are not Reloadable keep the values with which
+// the host starts.
 type Settings struct {
 	// Name is the name of the host in logs.
 	Name       string
@@ -28,6 +29,11 @@
 	MetricsAddress string
 	// Cores is the number of processor cores available to the process; 0 if unknown.
 	Cores float64
+	Reloadable
+}
+
+// Reloadable holds the settings that take effect when they are reloaded.
+type Reloadable struct {
 	// MemoryBytes is the memory available to the process; 0 sets no limit.
 	MemoryBytes int64
 	// GracePeriod is the time from the request to stop to the end of the process.
