--- a/internal/serving/exchange/answer.go
+++ b/internal/serving/exchange/answer.go
@@ -38,10 +38,10 @@
 	source io.Reader
 	onRead func(n int)
 	left   int
-	// inHead is set while a head is read, for which memory is held as it arrives.
+	// inHead is set while a head is read, for which memory is reserved as it arrives.
 	inHead bool
-	// holding is the memory of the answer that is read.
-	holding holding
+	// reservation is for the answer that is read.
+	reservation reservation
 }
 
 // beginHead allows maxHeadBytes from now on.
@@ -59,7 +59,7 @@
 	a.left -= n
 	a.onRead(n)
 	if a.inHead {
-		if noRoom := a.holding.add(n * headCost); noRoom != nil {
+		if noRoom := a.reservation.add(n * headCost); noRoom != nil {
 			return 0, noRoom
 		}
 	}
@@ -67,8 +67,8 @@
 }
 
 // read reads the answer to the request: its status, header and body. It skips answers
-// to other requests; the connection is not reused after one. The memory of the answer is in
-// c.source.holding, also if the read fails.
+// to other requests; the connection is not reused after one. Its memory is reserved in
+// c.source.reservation, also if the read fails.
 func (c *conn) read(req *Request, p Protocol) (Reply, error) {
 	request := &http.Request{Method: req.Method}
 	c.source.beginHead()
@@ -85,7 +85,7 @@
 			continue
 		}
 		c.source.beginBody()
-		body, err := readBody(r, &c.source.holding)
+		body, err := readBody(r, &c.source.reservation)
 		if err != nil {
 			return Reply{}, err
 		}
@@ -99,7 +99,7 @@
 		if mismatched++; mismatched > maxMismatchedAnswers || r.Close {
 			return Reply{}, errMismatchedAnswers
 		}
-		c.source.holding.reduceTo(0)
+		c.source.reservation.reduceTo(0)
 		c.source.beginHead()
 	}
 }
@@ -118,20 +118,20 @@
 // readBody returns the body of an answer, or errAnswerTooLong or errNoRoom. It closes only a
 // body that was read to its end: closing reads the rest of a body that is too long, which may
 // never end.
-func readBody(r *http.Response, h *holding) ([]byte, error) {
-	body, err := readToEnd(r, h)
+func readBody(r *http.Response, v *reservation) ([]byte, error) {
+	body, err := readToEnd(r, v)
 	if err != nil {
 		return nil, err
 	}
 	return body, r.Body.Close()
 }
 
-func readToEnd(r *http.Response, h *holding) ([]byte, error) {
+func readToEnd(r *http.Response, v *reservation) ([]byte, error) {
 	if r.ContentLength > maxAnswerBytes {
 		return nil, errAnswerTooLong
 	}
 	if 0 <= r.ContentLength && r.ContentLength <= maxPreallocBytes {
-		body, err := h.enlarge(nil, int(r.ContentLength))
+		body, err := v.enlarge(nil, int(r.ContentLength))
 		if err != nil {
 			return nil, err
 		}
@@ -139,18 +139,18 @@
 		_, err = io.ReadFull(r.Body, body)
 		return body, err
 	}
-	return readGrowing(r.Body, h)
+	return readGrowing(r.Body, v)
 }
 
 // readGrowing reads a body into a buffer that grows with it.
-func readGrowing(r io.Reader, h *holding) ([]byte, error) {
+func readGrowing(r io.Reader, v *reservation) ([]byte, error) {
 	var body []byte
 	for {
 		if len(body) == cap(body) {
 			if len(body) > maxAnswerBytes {
 				return nil, errAnswerTooLong
 			}
-			larger, err := h.enlarge(body, nextBufferSize(cap(body)))
+			larger, err := v.enlarge(body, nextBufferSize(cap(body)))
 			if err != nil {
 				return nil, err
 			}
--- a/internal/serving/exchange/conn.go
+++ b/internal/serving/exchange/conn.go
@@ -46,7 +46,7 @@
 // newConn returns a connection that calls onRead with the number of bytes of each read. The
 // memory of the answers is taken from an account.
 func newConn(number uint64, raw net.Conn, a *account, onRead func(n int)) *conn {
-	source := &answerReader{source: raw, onRead: onRead, holding: holding{account: a}}
+	source := &answerReader{source: raw, onRead: onRead, reservation: reservation{account: a}}
 	return &conn{number: number, raw: raw, source: source, reader: bufio.NewReaderSize(source, 2048), idleTimeout: maxIdleTime}
 }
 
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -52,9 +52,9 @@
 	mu sync.Mutex
 	// sentOn holds the numbers of the connections on which the request was sent.
 	sentOn map[uint64]struct{}
-	// holdings is the memory of the answers that are kept, and ended is set once none is.
-	holdings []holding
-	ended    bool
+	// reservations are for the answers that are kept, and ended is set once none is.
+	reservations []reservation
+	ended        bool
 }
 
 // End releases the memory of the answers. It is called when they are not used any more; those
@@ -63,28 +63,28 @@
 	req.mu.Lock()
 	defer req.mu.Unlock()
 	req.ended = true
-	for _, h := range req.holdings {
-		h.reduceTo(0)
+	for _, v := range req.reservations {
+		v.reduceTo(0)
 	}
-	req.holdings = nil
+	req.reservations = nil
 }
 
 // keep takes over the memory of a reply until the request ends, and drops what is not needed
 // of the reply.
-func (req *Request) keep(r *Reply, h *holding) {
+func (req *Request) keep(r *Reply, v *reservation) {
 	req.mu.Lock()
 	defer req.mu.Unlock()
 	if req.ended || !req.needs(r) {
 		r.Header, r.Body = nil, nil
-		h.reduceTo(0)
+		v.reduceTo(0)
 		return
 	}
 	if req.IsPart {
 		r.Header = nil
-		h.reduceTo(cap(r.Body))
+		v.reduceTo(cap(r.Body))
 	}
-	req.holdings = append(req.holdings, *h)
-	*h = holding{account: h.account}
+	req.reservations = append(req.reservations, *v)
+	*v = reservation{account: v.account}
 }
 
 // needs reports whether the header or the body of a reply may be used.
--- a/internal/serving/exchange/memory.go
+++ b/internal/serving/exchange/memory.go
@@ -41,55 +41,55 @@
 	held   atomic.Int64
 }
 
-// take takes n bytes and reports whether there is room. A target may hold as much as is left
-// for all others: however many targets send too much, they leave as much free as each of them
-// holds, and answers of the usual length fit in.
-func (a *account) take(n int) bool {
+// reserve reserves n bytes and reports whether there is room. A target may hold as much as is
+// left for all others: however many targets send too much, they leave as much free as each of
+// them holds, and answers of the usual length fit in.
+func (a *account) reserve(n int) bool {
 	held := a.held.Add(int64(n))
 	free := a.memory.limit.Load() - a.memory.held.Add(int64(n))
 	if held <= free {
 		return true
 	}
-	a.giveBack(n)
+	a.release(n)
 	return false
 }
 
-// giveBack returns n bytes.
-func (a *account) giveBack(n int) {
+// release returns n reserved bytes.
+func (a *account) release(n int) {
 	a.held.Add(int64(-n))
 	a.memory.held.Add(int64(-n))
 }
 
-// holding is the memory that one answer holds. The zero value holds none and has no account.
-type holding struct {
+// reservation is the memory that is reserved for one answer. The zero value has no account.
+type reservation struct {
 	account *account
 	bytes   int
 }
 
-// add takes n more bytes.
-func (h *holding) add(n int) error {
-	if !h.account.take(n) {
+// add reserves n more bytes.
+func (v *reservation) add(n int) error {
+	if !v.account.reserve(n) {
 		return errNoRoom
 	}
-	h.bytes += n
+	v.bytes += n
 	return nil
 }
 
-// reduceTo returns all but n bytes.
-func (h *holding) reduceTo(n int) {
-	if n < h.bytes {
-		h.account.giveBack(h.bytes - n)
-		h.bytes = n
+// reduceTo releases all but n bytes.
+func (v *reservation) reduceTo(n int) {
+	if n < v.bytes {
+		v.account.release(v.bytes - n)
+		v.bytes = n
 	}
 }
 
 // enlarge returns a buffer with the content of b and a capacity of n bytes. Until the content
-// is copied, the memory of both is held.
-func (h *holding) enlarge(b []byte, n int) ([]byte, error) {
-	if err := h.add(n); err != nil {
+// is copied, the memory of both is reserved.
+func (v *reservation) enlarge(b []byte, n int) ([]byte, error) {
+	if err := v.add(n); err != nil {
 		return nil, err
 	}
 	larger := append(make([]byte, 0, n), b...)
-	h.reduceTo(h.bytes - cap(b))
+	v.reduceTo(v.bytes - cap(b))
 	return larger, nil
 }
--- a/internal/serving/exchange/pool.go
+++ b/internal/serving/exchange/pool.go
@@ -290,7 +290,7 @@
 	began := time.Now()
 	r := p.roundTrip(c, t, req, remaining)
 	r.Conn = c.number
-	req.keep(&r, &c.source.holding)
+	req.keep(&r, &c.source.reservation)
 	fraction := float64(time.Since(began)) / float64(remaining)
 	if !stop() {
 		c.noReuse = true
