--- a/review/standin-2/cold.go
+++ b/review/standin-2/cold.go
@@ -10,9 +10,7 @@
 )
 
 const (
-	// coldTime is how long a backend is cold after it starts, and coldRate the number of
-	// requests a second that it tolerates meanwhile.
-	coldTime = 3 * time.Second
+	// coldRate is the number of requests a second that a cold backend tolerates.
 	coldRate = 5.0
 	// searchRate is the number of searches a second of all consumers, as on the sheet of the
 	// Winding Rota Search Service.
@@ -103,7 +101,7 @@
 // the IDs that they had.
 func shardCrashCase(p *play) (bool, error) {
 	const backendsDown = 700 * time.Millisecond
-	if err := p.startSearch(coldTime, coldRate); err != nil {
+	if err := p.startSearch(coldRate); err != nil {
 		return false, err
 	}
 	var sent sentTimes
@@ -135,41 +133,3 @@
 	}
 	return broken, nil
 }
-
-// silentStoreCase crashes a backend while the store refuses all calls of the hosts. It comes
-// back cold under the ID that it had.
-func silentStoreCase(p *play) (bool, error) {
-	const (
-		storeDown    = 6 * time.Second
-		backendDown  = 500 * time.Millisecond
-		crashesAfter = time.Second
-	)
-	if err := p.startSearch(coldTime, coldRate); err != nil {
-		return false, err
-	}
-	var sent sentTimes
-	stop := p.startConsumers(&sent)
-	defer stop()
-	time.Sleep(8 * time.Second)
-	if !p.trouble {
-		time.Sleep(8 * time.Second)
-		return false, nil
-	}
-	b, down := p.backends[0], time.Now()
-	p.setStoreDown(true)
-	p.record.add("the store refuses all calls of hosts")
-	time.Sleep(crashesAfter)
-	b.crash()
-	p.record.add("backend %s crashes", b.id)
-	time.Sleep(backendDown)
-	from := time.Now()
-	if err := b.start(from.UnixMilli(), coldTime); err != nil {
-		return false, err
-	}
-	p.record.add("backend %s has started again, cold", b.id)
-	time.Sleep(time.Until(down.Add(storeDown)))
-	p.setStoreDown(false)
-	p.record.add("the store serves again")
-	time.Sleep(2 * time.Second)
-	return p.judgeCold(b, from, &sent), nil
-}
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -126,19 +126,12 @@
 // makeDir returns a new temporary folder.
 func makeDir() (string, error) { return os.MkdirTemp("", "review-2-") }
 
-// setStoreDown sets whether the store refuses the calls of all hosts.
-func (d *deployment) setStoreDown(down bool) {
-	d.store.mu.Lock()
-	defer d.store.mu.Unlock()
-	d.store.down = down
-}
-
-// smallWarmup is how long a backend of the small deployments is cold.
-const smallWarmup = 3 * time.Second
+// coldTime is how long a backend of the small deployments is cold after it starts.
+const coldTime = 3 * time.Second
 
 // startSearch starts a deployment with a search route and returns when the traffic starts.
-func (p *play) startSearch(warmup time.Duration, warmupPerS float64) error {
-	if err := p.addSearch(warmup, warmupPerS); err != nil {
+func (p *play) startSearch(warmupPerS float64) error {
+	if err := p.addSearch(warmupPerS); err != nil {
 		return err
 	}
 	p.putManifest(p.manifest)
@@ -146,7 +139,7 @@
 }
 
 // addSearch adds a search route to the manifest and starts its backends.
-func (p *play) addSearch(warmup time.Duration, warmupPerS float64) error {
+func (p *play) addSearch(warmupPerS float64) error {
 	const shards, replicas = 8, 2
 	r := route{
 		Name: "r-kz7ubj6", Host: consumerHost, Prefix: "/bapu561/", Type: "safe", TimeoutMs: 600, LatencyTargetMs: 40, Priority: 2,
@@ -157,7 +150,7 @@
 		name := fmt.Sprintf("huvo%02d", s)
 		r.Gather = append(r.Gather, name)
 		p.manifest.Services = append(p.manifest.Services, service{
-			Name: name, HealthPath: "/healthz", MaxConnections: 26, Protocol: "h1", WarmupS: warmup.Seconds(), WarmupPerS: warmupPerS,
+			Name: name, HealthPath: "/healthz", MaxConnections: 26, Protocol: "h1", WarmupS: coldTime.Seconds(), WarmupPerS: warmupPerS,
 		})
 		for n := range replicas {
 			b := &backend{service: name, zone: smallZones[n].name, concurrency: 2, queue: 12, work: 2500 * time.Microsecond, bodySize: 100}
--- a/review/standin-2/directory.go
+++ b/review/standin-2/directory.go
@@ -91,7 +91,7 @@
 		// allowedAnswers is the number of answers that may name a killed host all the same.
 		allowedAnswers = 3
 	)
-	if err := p.startSearch(smallWarmup, 0); err != nil {
+	if err := p.startSearch(0); err != nil {
 		return false, err
 	}
 	j := &directoryJudge{record: p.record, hosts: p.hosts}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -31,10 +31,10 @@
 
 // cases holds the function of each case. It reports whether the rule was broken.
 var cases = map[string]func(p *play) (bool, error){
-	"shard-crash":  shardCrashCase,
-	"storm":        stormCase,
-	"directory":    directoryCase,
-	"silent-store": silentStoreCase,
+	"shard-crash": shardCrashCase,
+	"storm":       stormCase,
+	"directory":   directoryCase,
+	"move":        moveCase,
 }
 
 func init() {
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -50,8 +50,6 @@
 	// forgotten is the revision of the last change that is not in the history any more.
 	forgotten int64
 	changed   chan struct{}
-	// down makes the store refuse all calls: those of hosts with 503.
-	down bool
 }
 
 func newStore() *store {
@@ -120,8 +118,7 @@
 	s.changed = make(chan struct{})
 }
 
-// Put writes a value as the operator or a backend does. It returns the number of its bytes, or 0
-// if the store is down.
+// Put writes a value as the operator or a backend does, and returns the number of its bytes.
 func (s *store) Put(key string, value any) int {
 	text, err := json.Marshal(value)
 	if err != nil {
@@ -129,9 +126,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
-		return 0
-	}
 	s.put(key, text, 0)
 	return len(text)
 }
@@ -145,13 +139,6 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	down := s.down
-	s.mu.Unlock()
-	if down {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	id, _ := strconv.ParseInt(r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:], 10, 64)
 	switch {
 	case r.URL.Path == "/v1/kv-key":
--- a/review/standin-2/storm.go
+++ b/review/standin-2/storm.go
@@ -25,7 +25,7 @@
 		routes = 1900
 		shards = 30
 	)
-	if err := p.addSearch(smallWarmup, 0); err != nil {
+	if err := p.addSearch(0); err != nil {
 		return false, err
 	}
 	m := p.manifest
