Fill retry budgets by a token bucket that needs no past

Cause: a host could save up what a window of requests had earned and spend it at once, which is right only as long as the process remembers it. The one that replaces it earned anew in the same window.

Change: a token bucket for each service, filled by requests and time. What a host sends in a span is what it had saved up, plus what the span itself adds; all hosts save up at most half of the allowance and start with a tenth. A surge may use what it adds for half a second. A change of the bounds no longer refills the budgets, and hosts that fell silent count among those that share the allowance: they may only be cut off.

--- a/internal/fleet/directory/senders.go
+++ b/internal/fleet/directory/senders.go
@@ -1,6 +1,9 @@
 package directory
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // senderMemory is how long a number of senders stays in force after it was last seen. It
 // is longer than the span in which the additional requests of all hosts are bounded.
@@ -22,3 +25,12 @@
 	}
 	return max(1, s.most)
 }
+
+// CountPossiblyActive returns the number of active hosts as observed by a host, or the number
+// that there would be if the silent ones were alive, if that is more. Silent hosts may only be
+// cut off from this one, and be active and send to the same targets. share returns the share of
+// the cores that is active among some hosts.
+func CountPossiblyActive(alive, silent []Host, share func([]Host) Share) int {
+	possible := slices.Concat(alive, silent)
+	return max(len(AppendActive(nil, alive, share(alive))), len(AppendActive(nil, possible, share(possible))))
+}
--- a/internal/serving/gateway/bounds.go
+++ b/internal/serving/gateway/bounds.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"fescuerill/budget"
+)
 
 // Bounds are limits that the platform sets on all hosts together.
 type Bounds struct {
@@ -16,6 +20,11 @@
 	ColdAllowance float64
 }
 
+// retryLimit returns the limit on the additional requests to a service.
+func (b Bounds) retryLimit() budget.CommonLimit {
+	return budget.CommonLimit{Ratio: b.RetryFraction, Window: b.RetryWindow, Allowance: b.RetryAllowance}
+}
+
 const (
 	// softDeadlineMargin is how long before the latency target an answer is sent, for the
 	// work of the host and the caller, and softDeadlineRoundTrips the number of round
@@ -87,12 +96,6 @@
 	// among all hosts.
 	localConnectionShare  = 0.45
 	remoteConnectionShare = 0.3
-	// retryAllowanceShare is the share of the retry allowance that the hosts use, so that
-	// they stay within it when all of them restart.
-	retryAllowanceShare = 0.5
-	// retryWindowMargin is the factor by which the window of the retry budget is longer
-	// than the window of the bound.
-	retryWindowMargin = 1.1
 	// hedgeQuantile is the quantile of recent latencies that sets the hedge delay.
 	hedgeQuantile = 0.97
 	// maxSingleTargetHedgeShare bounds the hedge delay of requests to a single target, as a
--- a/internal/serving/gateway/chooser.go
+++ b/internal/serving/gateway/chooser.go
@@ -108,7 +108,7 @@
 
 // SpendRetryBudget implements search.Chooser.
 func (c *chooser) SpendRetryBudget(part int) bool {
-	ok := c.g.retryBudget(c.now, c.services[part]).TryWithdraw(c.now)
+	ok := c.g.retryBudgets.service(c.services[part]).spend(c.now)
 	if !ok {
 		c.budgetRefusals++
 		c.g.stats.Add("extra-refused-budget", 1)
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"fescuerill/admission"
-	"fescuerill/budget"
 	"fescuerill/internal/fleet/feed"
 	"fescuerill/internal/fleet/peers"
 	"fescuerill/internal/observe/traffic"
@@ -90,7 +89,7 @@
 	catalog      catalog.Catalog
 	tracker      replicas.Tracker
 	splitter     manifest.Splitter
-	retryBudgets map[string]*budget.Window
+	retryBudgets retryBudgets
 	coldStarts   replicas.ColdStartLimiter
 	random       *rand.Rand
 	// listed reports that a full list of the store has been applied.
@@ -127,8 +126,10 @@
 func New(ctx context.Context, o Options) *Gateway {
 	g := &Gateway{
 		dataCentre: o.DataCentre, fleet: o.Fleet, decoder: o.Decoder, log: o.Log, stats: o.Stats,
-		startedAt: time.Now(), bounds: o.Bounds, random: o.Random, retryBudgets: map[string]*budget.Window{},
+		startedAt: time.Now(), bounds: o.Bounds, random: o.Random,
 	}
+	g.retryBudgets.reset(g.startedAt, o.Random)
+	g.retryBudgets.setLimit(g.startedAt, g.bounds.retryLimit(), g.fleet.Senders())
 	g.relays.Reset(ctx, o.Log, o.Traffic)
 	g.limiter.Reset(maxSearches, limitCutPeriod)
 	g.pool.Reset(o.Dial, o.Protocol, func() { g.stats.Add("target-connections-opened", 1) }, o.Traffic)
@@ -136,15 +137,13 @@
 	return g
 }
 
-// SetBounds replaces the bounds. A change resets the retry budgets.
+// SetBounds replaces the bounds. What the retry budgets have saved up stays.
 func (g *Gateway) SetBounds(b Bounds) {
+	senders := g.fleet.Senders()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if b == g.bounds {
-		return
-	}
 	g.bounds = b
-	clear(g.retryBudgets)
+	g.retryBudgets.setLimit(time.Now(), b.retryLimit(), senders)
 }
 
 // SetAnswerMemory changes the bound on the memory in bytes for the answers of targets; 0 stands
@@ -231,9 +230,8 @@
 	if len(dropped) > 0 {
 		g.log.Info("targets", "changes", strings.Join(dropped, " "), "known", g.catalog.Len(), "reason", "not-back-after-trouble")
 	}
-	for _, w := range g.retryBudgets {
-		w.SetAllowance(now, g.bounds.RetryAllowance*retryAllowanceShare/float64(senders))
-	}
+	g.retryBudgets.setLimit(now, g.bounds.retryLimit(), senders)
+	g.retryBudgets.logSpending(now, g.log)
 	g.tracker.Expire(now)
 	g.catalog.Each(func(e *catalog.Entry) { g.pool.SetMaxConns(e.ID, g.connectionLimit(e)) })
 	g.coldStarts.Expire(now)
@@ -256,16 +254,3 @@
 	}
 	return max(1, int(remoteConnectionShare*float64(s.MaxConnections))/g.fleet.ConnectingHosts())
 }
-
-// retryBudget returns the retry budget of a service, which it creates if there is none.
-// The gateway is locked.
-func (g *Gateway) retryBudget(now time.Time, service string) *budget.Window {
-	w := g.retryBudgets[service]
-	if w == nil {
-		w = &budget.Window{}
-		b := g.bounds
-		w.Reset(now, time.Duration(retryWindowMargin*float64(b.RetryWindow)), b.RetryFraction, b.RetryAllowance*retryAllowanceShare/float64(g.fleet.Senders()))
-		g.retryBudgets[service] = w
-	}
-	return w
-}
--- a/internal/serving/gateway/gauges.go
+++ b/internal/serving/gateway/gauges.go
@@ -41,7 +41,7 @@
 }
 
 // UpdateGauges sets the gauges of the gateway: the targets in each state, the additional
-// requests that the retry budgets still allow, the memory of answers, and the limit and number
+// requests that the retry budgets still allow, the hosts that share them, the memory of answers, and the limit and number
 // of searches in flight.
 func (g *Gateway) UpdateGauges(now time.Time) {
 	g.mu.Lock()
@@ -51,9 +51,10 @@
 	for state, n := range counts {
 		g.stats.SetGauge("targets-"+targetState(state).String(), n)
 	}
-	for service, w := range g.retryBudgets {
-		g.stats.SetGauge("retry-budget-left-"+service, w.Available(now))
+	for service, b := range g.retryBudgets.services {
+		g.stats.SetGauge("retry-budget-left-"+service, b.Available(now))
 	}
+	g.stats.SetGauge("retry-budget-hosts", g.retryBudgets.hosts)
 	g.stats.SetGauge("answer-bytes-held", int(g.pool.HeldMemory()))
 	g.stats.SetGauge("search-limit", g.limiter.Limit())
 	g.stats.SetGauge("searches-running", g.limiter.InFlight())
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -135,7 +135,7 @@
 		r.chooser.services = []string{g.splitter.Pick(r.route)}
 	}
 	for _, service := range r.chooser.services {
-		g.retryBudget(now, service).AddInitial(now)
+		g.retryBudgets.service(service).addInitial(now)
 	}
 	r.search.Reset(r.plan)
 	attempts := r.search.Begin(now, &r.chooser, nil)
--- a/internal/serving/search/replay_test.go
+++ b/internal/serving/search/replay_test.go
@@ -95,7 +95,7 @@
 type replay struct {
 	shards  [][]*replayTarget
 	tracker replicas.Tracker
-	budgets []budget.Window
+	budgets []budget.TokenBucket
 	random  *rand.Rand
 	typical time.Duration
 	ends    []replayEnd
@@ -171,9 +171,12 @@
 // run sends a search each interval for some time.
 func (r *replay) run(interval, length time.Duration, plan search.Plan, aim time.Duration) {
 	var searches []*replaySearch
-	r.budgets = make([]budget.Window, len(r.shards))
+	r.budgets = make([]budget.TokenBucket, len(r.shards))
+	// What is saved up is what a second of searches adds. No more than 0.2 a part and 4 are
+	// allowed altogether.
+	limits := budget.Limits{Ratio: 0.2, Capacity: 10, Start: 4}
 	for i := range r.budgets {
-		r.budgets[i].Reset(start, 10*time.Second, 0.2, 4)
+		r.budgets[i].Reset(start, limits, 0)
 	}
 	for now := start; now.Before(start.Add(length)); now = now.Add(time.Millisecond) {
 		r.endAttempts(now)
@@ -244,7 +247,7 @@
 		}
 		r.run(20*time.Millisecond, 10*time.Second, replayPlan(20), 86*time.Millisecond)
 		assert.Greater(t, float64(r.covered)/float64(r.asked), 0.995, "seed %d", seed)
-		assert.LessOrEqual(t, float64(r.extra)/float64(r.asked), 0.25, "seed %d", seed)
+		assert.LessOrEqual(t, float64(r.extra)/float64(r.asked), 0.2+4.0/500, "seed %d", seed)
 	}
 }
 
--- a/internal/serving/server/active.go
+++ b/internal/serving/server/active.go
@@ -27,7 +27,9 @@
 	// which the connections to a target are divided: the active hosts. If this host is on
 	// standby, both are the number of the other live hosts, but at least 1.
 	local, total int
-	// senders is the number of hosts among which the retry allowance is divided.
+	// senders is the number of hosts among which the retry allowance is divided. It includes
+	// hosts that would be active if they were not silent: these may only be cut off from this
+	// host, and still send to the targets.
 	senders int
 	// localPeers holds the peer addresses of the other active hosts of this data centre;
 	// it is empty if no host is on standby.
@@ -39,14 +41,16 @@
 // selectActive selects the active hosts among the live ones. This host is a candidate
 // unless it is stopping.
 func (s *Server) selectActive(now time.Time) *activeHosts {
-	var known []directory.Host
-	alive := 0
+	var known, silent []directory.Host
 	s.peers.Each(func(h peers.Host) {
-		if h.State == host.Alive {
+		switch h.State {
+		case host.Alive:
 			known = append(known, directoryHost(h))
-			alive++
+		case host.Suspect, host.Dead:
+			silent = append(silent, directoryHost(h))
 		}
 	})
+	alive := len(known)
 	self := directory.Host{Address: s.settings.PeerAddress, DataCentre: s.settings.DataCentre, Cores: s.settings.Cores}
 	if !s.Stopping() {
 		known = append(known, self)
@@ -72,7 +76,8 @@
 	if !a.selfActive {
 		a.local, a.total = max(1, alive), max(1, alive)
 	}
-	a.senders = s.senders.Observe(now, a.total)
+	share := func(hosts []directory.Host) directory.Share { return s.activeShare(now, hosts) }
+	a.senders = s.senders.Observe(now, directory.CountPossiblyActive(known, silent, share))
 	return a
 }
 
