Probe further hosts at once when one turns out silent

Cause: a host probes one other a second, in random order. A host that is left with N dead ones needs N seconds at least, and spends its turns also on those that it knows to be dead. Evidence: in the log of a remaining host the lines "host state" with state=suspect came 1.1, 1.2, 1.7, 3.1, 5.1 and 11.2 s after the kill, for one host each; the last is the one that the answers named.

Change: a probe without an answer is followed by probes of three others, those that were not heard for the longest; once a third of all hosts are silent, all others are probed. The same is done for silent hosts when one of them is heard again. These probes are sent evenly, at most to half of the hosts in a second, and are owed until they are sent. While a data centre is down as a whole the detector of that decides, as before.

--- a/host/membership.go
+++ b/host/membership.go
@@ -60,6 +60,9 @@
 	Update
 	stateSince time.Time
 	timesSent  int
+	// heardAt is when the last message of the host arrived, and followUpAt when it was last
+	// among the follow-up probes.
+	heardAt, followUpAt time.Time
 }
 
 // Membership holds the states of the other hosts as observed by one host. Call Reset
@@ -72,6 +75,7 @@
 	nextTick     time.Time
 	random       *rand.Rand
 	lastReceived time.Time
+	followUps    followUps
 }
 
 // Reset sets the identity of the host and removes all others.
@@ -144,8 +148,14 @@
 	m.probeIndex = 0
 }
 
-// NextTick returns when Tick is due.
-func (m *Membership) NextTick() time.Time { return m.nextTick }
+// NextTick returns when Tick or FollowUp is due. It can become earlier when a probe is not
+// answered or a message arrives.
+func (m *Membership) NextTick() time.Time {
+	if m.followUps.pending() && m.followUps.next.Before(m.nextTick) {
+		return m.followUps.next
+	}
+	return m.nextTick
+}
 
 // Tick declares dead the suspects that did not refute the suspicion in time and returns
 // the host to probe now, or "" if no probe is due. Each host is probed once in every
@@ -226,9 +236,13 @@
 // shows that the sender is alive.
 func (m *Membership) HandleMessage(now time.Time, from string, updates []Update) {
 	m.lastReceived = now
-	if p := m.peers[from]; p != nil && (p.State == Suspect || p.State == Dead) {
-		m.setState(now, p, Alive)
-		p.Version++
+	if p := m.peers[from]; p != nil {
+		p.heardAt = now
+		if p.State == Suspect || p.State == Dead {
+			m.setState(now, p, Alive)
+			p.Version++
+			m.followUps.heard = min(m.followUps.heard+followUpsPerHost, len(m.peers))
+		}
 	}
 	for _, u := range updates {
 		m.merge(now, u)
@@ -248,6 +262,9 @@
 	if u.Version > p.Version || u.Version == p.Version && u.State > p.State {
 		p.Version = u.Version
 		m.setState(now, p, u.State)
+		if u.State == Suspect {
+			m.suspected()
+		}
 	}
 }
 
@@ -269,6 +286,7 @@
 func (m *Membership) ProbeFailed(now time.Time, id string) {
 	if p := m.peers[id]; p != nil && (p.State == Alive || p.State == Leaving) {
 		m.setState(now, p, Suspect)
+		m.suspected()
 	}
 }
 
--- a/host/membership_test.go
+++ b/host/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,6 +22,14 @@
 	ids          []string
 	disconnected map[string]bool
 	probes       int
+	// unanswered and failed are the probes that time out directly and altogether.
+	unanswered, failed []unanswered
+}
+
+// unanswered is a probe that times out at a time.
+type unanswered struct {
+	at       time.Time
+	from, to string
 }
 
 func newCluster(n int) *cluster {
@@ -50,26 +59,65 @@
 	return true
 }
 
+// step is the resolution of the simulated time.
+const step = 10 * time.Millisecond
+
 // run simulates the probes of all hosts for the duration.
 func (c *cluster) run(d time.Duration) {
-	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(50 * time.Millisecond) {
+	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(step) {
+		c.expire()
 		for _, id := range c.ids {
+			if c.disconnected[id] {
+				continue
+			}
 			m := c.members[id]
-			to := m.Tick(c.now)
-			if to == "" || c.exchange(id, to) {
+			if c.now.Before(m.NextTick()) {
 				continue
 			}
-			reached := false
-			for _, helper := range m.RandomAlive(nil, host.IndirectProbes, to) {
-				reached = reached || c.exchange(id, helper) && c.exchange(helper, to)
+			if to := m.Tick(c.now); to != "" {
+				c.probe(id, to)
 			}
-			if !reached {
-				m.ProbeFailed(c.now, to)
+			if to := m.FollowUp(c.now, func(string) bool { return true }); to != "" {
+				c.probe(id, to)
 			}
 		}
 	}
 }
 
+// probe simulates a probe, with the indirect probes if there is no reply.
+func (c *cluster) probe(from, to string) {
+	m := c.members[from]
+	if c.exchange(from, to) {
+		return
+	}
+	c.unanswered = append(c.unanswered, unanswered{at: c.now.Add(host.ProbeTimeout), from: from, to: to})
+	reached := false
+	for _, helper := range m.RandomAlive(nil, host.IndirectProbes, to) {
+		reached = reached || c.exchange(from, helper) && c.exchange(helper, to)
+	}
+	if !reached {
+		c.failed = append(c.failed, unanswered{at: c.now.Add(2 * host.ProbeTimeout), from: from, to: to})
+	}
+}
+
+// expire records the probes that have timed out.
+func (c *cluster) expire() {
+	c.unanswered = slices.DeleteFunc(c.unanswered, func(u unanswered) bool {
+		if c.now.Before(u.at) {
+			return false
+		}
+		c.members[u.from].ProbeUnanswered(u.to)
+		return true
+	})
+	c.failed = slices.DeleteFunc(c.failed, func(u unanswered) bool {
+		if c.now.Before(u.at) {
+			return false
+		}
+		c.members[u.from].ProbeFailed(c.now, u.to)
+		return true
+	})
+}
+
 // countObserving returns the number of connected hosts that observe a host in a state.
 func (c *cluster) countObserving(of string, s host.State) int {
 	n := 0
@@ -94,6 +142,61 @@
 	}
 }
 
+// TestSurvivorsFindAllDeadHosts kills all hosts but a few at the same moment. Each survivor has
+// to find all of them dead within the time for which callers may be given their addresses,
+// although so few hosts probe.
+func TestSurvivorsFindAllDeadHosts(t *testing.T) {
+	const addressesMayNameDead = 7 * time.Second
+	for _, n := range []int{9, 60, 300} {
+		for _, survivors := range []int{1, 2, 3, n / 4, n / 2} {
+			c := newCluster(n)
+			c.run(2 * time.Second)
+			for _, id := range c.ids[survivors:] {
+				c.disconnected[id] = true
+			}
+			c.run(addressesMayNameDead)
+			for _, id := range c.ids[survivors:] {
+				if named := c.countObserving(id, host.Alive); named > 0 {
+					t.Errorf("%d of %d survivors of %d hosts take %s for alive", named, survivors, n, id)
+					break
+				}
+			}
+			for _, id := range c.ids[:survivors] {
+				assert.Equal(t, survivors-1, c.countObserving(id, host.Alive), "survivors stay alive")
+			}
+		}
+	}
+}
+
+// TestOneDeadHostCausesFewFurtherProbes guards against probes that multiply although nearly
+// all hosts reply.
+func TestOneDeadHostCausesFewFurtherProbes(t *testing.T) {
+	const n, seconds = 200, 20
+	c := newCluster(n)
+	c.run(3 * time.Second)
+	c.disconnected["h001"] = true
+	c.probes = 0
+	c.run(seconds * time.Second)
+	assert.Less(t, float64(c.probes)/n/seconds, 1.3, "probes of a host in a second")
+}
+
+// TestFollowUpsAreLimited lets all probes of a host fail all the time while it goes on hearing
+// the others, as one whose messages are all lost.
+func TestFollowUpsAreLimited(t *testing.T) {
+	const n, seconds = 300, 10
+	c := newCluster(n)
+	m, sent := c.members["h000"], 0
+	for range seconds * 100 {
+		c.now = c.now.Add(step)
+		m.ProbeUnanswered("h001")
+		if m.FollowUp(c.now, func(string) bool { return true }) != "" {
+			sent++
+		}
+	}
+	assert.LessOrEqual(t, sent, seconds*n/2, "half of the hosts in a second")
+	assert.Greater(t, sent, n, "all hosts are probed")
+}
+
 func TestHostRefutesSuspicion(t *testing.T) {
 	c := newCluster(9)
 	c.run(2 * time.Second)
@@ -139,7 +242,6 @@
 // spread returns the time until the last of n hosts has received an update, and the
 // number of messages sent for it.
 func spread(n int, seed uint64) (time.Duration, int) {
-	const step = 5 * time.Millisecond
 	random := rand.New(rand.NewPCG(seed, 3))
 	received := make([]int, n)
 	received[0] = 1
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -32,9 +32,10 @@
 // settings and the epoch of the member list.
 type gossip struct {
 	daemon *Daemon
-	// changed wakes disseminateLoop. hostsAhead wakes pullLoop; it holds the
-	// IDs of hosts with a newer revision or epoch.
+	// changed wakes disseminateLoop, and unanswered wakes probeLoop. hostsAhead wakes
+	// pullLoop; it holds the IDs of hosts with a newer revision or epoch.
 	changed    ring.Ring[struct{}]
+	unanswered ring.Ring[struct{}]
 	hostsAhead ring.Ring[string]
 
 	mu               sync.Mutex
@@ -46,6 +47,7 @@
 	g := &gossip{daemon: d, lastStoreContact: time.Now()}
 	g.membership.Reset(time.Now(), d.node.ID(), d.incarnation, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	g.changed.Reset(1)
+	g.unanswered.Reset(1)
 	g.hostsAhead.Reset(8)
 	return g
 }
@@ -130,26 +132,59 @@
 	}
 }
 
-// probeLoop probes one random host in each probe interval, first directly and
-// then through other hosts.
+// probeLoop probes one random host in each probe interval, and others at once while hosts do
+// not reply.
 func (g *gossip) probeLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		g.mu.Lock()
 		wait := time.Until(g.membership.NextTick())
 		g.mu.Unlock()
-		pause(ctx, max(wait, time.Millisecond))
-		g.mu.Lock()
-		id := g.membership.Tick(time.Now())
-		g.mu.Unlock()
-		if id != "" && ctx.Err() == nil && !g.probeHost(ctx, id) && !g.probeIndirectly(ctx, id) {
-			g.daemon.stats.Add("hosts-suspected", 1)
-			g.mu.Lock()
-			g.membership.ProbeFailed(time.Now(), id)
-			g.mu.Unlock()
+		t := time.NewTimer(max(wait, time.Millisecond))
+		select {
+		case <-t.C:
+		case <-g.unanswered.Ready():
+			g.unanswered.Drain(nil)
+		case <-ctx.Done():
+		}
+		t.Stop()
+		for _, id := range g.nextProbes(time.Now()) {
+			g.daemon.goroutines.Go(func() { g.checkHost(ctx, id) })
 		}
 	}
 }
 
+// nextProbes returns the hosts to probe now: the one whose turn it is, and one out of turn.
+func (g *gossip) nextProbes(now time.Time) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var due []string
+	if id := g.membership.Tick(now); id != "" {
+		due = append(due, id)
+	}
+	if id := g.membership.FollowUp(now, func(string) bool { return true }); id != "" {
+		due = append(due, id)
+	}
+	return due
+}
+
+// checkHost probes a host, directly and then through others, and records whether it replied.
+func (g *gossip) checkHost(ctx context.Context, id string) {
+	if g.probeHost(ctx, id) || ctx.Err() != nil {
+		return
+	}
+	g.mu.Lock()
+	g.membership.ProbeUnanswered(id)
+	g.mu.Unlock()
+	g.unanswered.Push(struct{}{})
+	if g.probeIndirectly(ctx, id) {
+		return
+	}
+	g.daemon.stats.Add("hosts-suspected", 1)
+	g.mu.Lock()
+	g.membership.ProbeFailed(time.Now(), id)
+	g.mu.Unlock()
+}
+
 // probeHost probes a host directly and reports whether it replied.
 func (g *gossip) probeHost(ctx context.Context, id string) bool {
 	l := g.daemon.linkTo(id)
--- a/internal/fleet/peers/datagrams.go
+++ b/internal/fleet/peers/datagrams.go
@@ -86,12 +86,14 @@
 	var helpers []string
 	if pending && requester == "" {
 		helpers = p.members.RandomAlive(nil, host.IndirectProbes, address)
+		p.members.ProbeUnanswered(address)
 	}
 	p.mu.Unlock()
 	if !pending || p.ctx.Err() != nil {
 		return
 	}
 	p.checkDataCentre(address)
+	p.wakeTick()
 	for _, h := range helpers {
 		p.send(h, fleet.MessageKindForward, number, address)
 	}
@@ -182,6 +184,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	before := p.states()
+	wasSilent := before[m.From] == host.Suspect || before[m.From] == host.Dead
 	discovered := p.discover(now, Host{Address: m.From, DataCentre: m.DataCentre, Incarnation: m.Incarnation, Cores: m.Cores})
 	p.members.HandleMessage(now, m.From, decodeHostUpdates(m.News))
 	recovered := p.outages.MessageReceived(now, m.DataCentre, m.From)
@@ -195,6 +198,9 @@
 	if recovered {
 		p.probeRecovered(m.DataCentre)
 	}
+	if wasSilent {
+		p.wakeTick()
+	}
 	switch {
 	case m.Kind == fleet.MessageKindProbe:
 		p.send(m.From, fleet.MessageKindAnswer, m.Number, "")
--- a/internal/fleet/peers/outage.go
+++ b/internal/fleet/peers/outage.go
@@ -100,5 +100,11 @@
 	return c != nil && c.down
 }
 
+// Reachable reports whether a data centre is neither down nor suspected.
+func (o *OutageDetector) Reachable(now time.Time, dataCentre string) bool {
+	c := o.dataCentres[dataCentre]
+	return c == nil || !c.down && (c.suspectedAt.IsZero() || now.Sub(c.suspectedAt) >= suspicionInterval)
+}
+
 // RemoveHost removes the state of a host.
 func (o *OutageDetector) RemoveHost(host string) { delete(o.lastMessage, host) }
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -21,6 +21,8 @@
 	// discovered through the store. After that only active hosts are, as the others
 	// discover this host through the store too.
 	maxDiscoveryProbes = 16
+	// minTickInterval is the minimum time between two checks whether a probe is due.
+	minTickInterval = 5 * time.Millisecond
 )
 
 // Host is another host, as this host knows it.
@@ -71,6 +73,8 @@
 	sizeKnown       bool
 	lastProbeNumber int
 	pending         map[int]probe
+	// probesDue wakes the loop that sends probes.
+	probesDue chan struct{}
 }
 
 // Start probes other hosts and answers their probes over the datagram socket until ctx
@@ -79,7 +83,7 @@
 	p := &Peers{
 		ctx: ctx, self: self, conn: conn, log: log, stats: registry, meter: meter,
 		dataCentres: map[string]string{}, cores: map[string]float64{}, diedAt: map[string]time.Time{}, pending: map[int]probe{}, recovering: map[string]bool{},
-		startedAt: time.Now(),
+		startedAt: time.Now(), probesDue: make(chan struct{}, 1),
 	}
 	p.members.Reset(time.Now(), self.Address, self.Incarnation, random)
 	go p.receive()
@@ -143,7 +147,7 @@
 		p.mu.Lock()
 		now := time.Now()
 		before := p.states()
-		id := p.members.Tick(now)
+		due := p.nextProbes(now)
 		p.recordChanges(before, now)
 		for _, dead := range p.members.RemoveDead(now, removeDeadAfter, nil) {
 			delete(p.dataCentres, dead)
@@ -152,15 +156,14 @@
 		}
 		wait := p.members.NextTick().Sub(now)
 		p.mu.Unlock()
-		if id != "" {
-			p.probe(id, "", 0)
-		}
-		t := time.NewTimer(max(wait, 10*time.Millisecond))
+		p.ProbeAll(due)
+		t := time.NewTimer(max(wait, minTickInterval))
 		select {
 		case <-t.C:
+		case <-p.probesDue:
 		case <-ctx.Done():
-			t.Stop()
 		}
+		t.Stop()
 	}
 	_ = p.conn.Close()
 }
@@ -188,6 +191,7 @@
 		}
 		if u.State == host.Suspect {
 			go p.checkDataCentre(u.ID)
+			p.wakeTick()
 		}
 		p.stats.Add("host-"+u.State.String(), 1)
 		p.log.Info("host state", "host", u.ID, "before", old.String(), "state", u.State.String(), "version", u.Version)
