Remember the incarnation of a host that was removed as dead

Cause: the record of a host in the store outlives it by up to a minute. A dead host is removed after 20 s; when the records are read anew, it was added as a new host, that is, as alive until a probe failed.

Change: the incarnation of a removed host is remembered for 3 min. If it is added again, it is dead until it sends a message, and is probed at once, since it may only have been cut off. A new incarnation is alive.

Test: TestRecordOfDeadHostDoesNotReviveIt, which fails without the change (alive instead of dead).

--- a/host/membership.go
+++ b/host/membership.go
@@ -23,6 +23,9 @@
 	// retransmitFactor, times the binary logarithm of the number of hosts, is the
 	// number of times that an update is sent.
 	retransmitFactor = 2
+	// removedHostMemory is how long the incarnation of a removed host is remembered. It is
+	// longer than what others have written of the host is kept.
+	removedHostMemory = 3 * time.Minute
 )
 
 // State is the state of a host as observed by another.
@@ -65,6 +68,12 @@
 	heardAt, followUpAt time.Time
 }
 
+// removedHost is a host that was removed because it was dead.
+type removedHost struct {
+	incarnation string
+	at          time.Time
+}
+
 // Membership holds the states of the other hosts as observed by one host. Call Reset
 // before use. A Membership is not safe for concurrent use.
 type Membership struct {
@@ -75,13 +84,14 @@
 	nextTick     time.Time
 	random       *rand.Rand
 	lastReceived time.Time
+	removed      map[string]removedHost
 	followUps    followUps
 }
 
 // Reset sets the identity of the host and removes all others.
 func (m *Membership) Reset(now time.Time, id, incarnation string, random *rand.Rand) {
 	*m = Membership{
-		self: Update{ID: id, Incarnation: incarnation}, peers: map[string]*peer{},
+		self: Update{ID: id, Incarnation: incarnation}, peers: map[string]*peer{}, removed: map[string]removedHost{},
 		nextTick: now, random: random, lastReceived: now,
 	}
 }
@@ -103,7 +113,9 @@
 }
 
 // Add adds a host with an incarnation, as alive, and reports whether the host or this
-// incarnation of it is new. It changes nothing if neither is.
+// incarnation of it is new. It changes nothing if neither is. An incarnation that was removed
+// because it was dead is added as dead: until a message of it arrives, it is only known from
+// what was written before it died.
 func (m *Membership) Add(now time.Time, id, incarnation string) bool {
 	if id == m.self.ID {
 		return false
@@ -111,7 +123,11 @@
 	if p := m.peers[id]; p != nil && p.Incarnation == incarnation {
 		return false
 	}
-	m.peers[id] = &peer{Update: Update{ID: id, Incarnation: incarnation}, stateSince: now}
+	p := &peer{Update: Update{ID: id, Incarnation: incarnation}, stateSince: now}
+	if m.removed[id].incarnation == incarnation {
+		p.State = Dead
+	}
+	m.peers[id] = p
 	m.shuffle()
 	return true
 }
@@ -119,9 +135,15 @@
 // RemoveDead removes the hosts that have been dead for at least the given time and
 // appends their IDs to dst.
 func (m *Membership) RemoveDead(now time.Time, after time.Duration, dst []string) []string {
+	for id, r := range m.removed {
+		if now.Sub(r.at) >= removedHostMemory {
+			delete(m.removed, id)
+		}
+	}
 	for id, p := range m.peers {
 		if p.State == Dead && now.Sub(p.stateSince) >= after {
 			delete(m.peers, id)
+			m.removed[id] = removedHost{incarnation: p.Incarnation, at: now}
 			dst = append(dst, id)
 		}
 	}
--- a/host/membership_test.go
+++ b/host/membership_test.go
@@ -295,3 +295,28 @@
 	assert.Equal(t, []string{"b"}, m.RemoveDead(now.Add(host.SuspicionTimeout+time.Second), time.Second, nil))
 	assert.Equal(t, 0, m.Len())
 }
+
+// TestRecordOfDeadHostDoesNotReviveIt adds a host again that was removed because it was dead. A
+// record of a host outlives it by up to a minute.
+func TestRecordOfDeadHostDoesNotReviveIt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var m host.Membership
+	m.Reset(now, "a", "run", rand.New(rand.NewPCG(1, 1)))
+	assert.True(t, m.Add(now, "b", "one"))
+	m.ProbeFailed(now, "b")
+	now = now.Add(host.SuspicionTimeout)
+	m.Tick(now)
+	assert.Equal(t, []string{"b"}, m.RemoveDead(now, 0, nil))
+	now = now.Add(time.Minute)
+	assert.True(t, m.Add(now, "b", "one"))
+	assert.Equal(t, host.Dead, m.State("b"))
+	m.HandleMessage(now, "b", nil)
+	assert.Equal(t, host.Alive, m.State("b"), "it was only cut off")
+
+	m.ProbeFailed(now, "b")
+	now = now.Add(host.SuspicionTimeout)
+	m.Tick(now)
+	m.RemoveDead(now, 0, nil)
+	assert.True(t, m.Add(now, "b", "two"))
+	assert.Equal(t, host.Alive, m.State("b"), "a new incarnation")
+}
--- a/internal/fleet/peers/datagrams.go
+++ b/internal/fleet/peers/datagrams.go
@@ -55,11 +55,12 @@
 func (p *Peers) Probe(address string) { p.probe(address, "", 0) }
 
 // AddHost adds a host that has a record in the store. A new host is probed at once if it
-// is active or if fewer than maxDiscoveryProbes hosts have been probed in this way.
+// is active, if it was removed as dead before, or if fewer than maxDiscoveryProbes hosts have
+// been probed in this way.
 func (p *Peers) AddHost(h Host) {
 	p.mu.Lock()
 	added := p.discover(time.Now(), h)
-	probeNow := added && (h.Active || p.discoveryProbes < maxDiscoveryProbes)
+	probeNow := added && (h.Active || p.discoveryProbes < maxDiscoveryProbes || p.members.State(h.Address) != host.Alive)
 	if probeNow {
 		p.discoveryProbes++
 	}
