Take an answer with an invalid status for none

Callers saw: with the status 000, 099 or 101 from a target in trouble, 504 at the time limit (885 ms of 900) although the answer had long come; with 600 or 999 from a single target, that status with the target's MAC.

Cause: all statuses below 200 were taken for interim answers and skipped, and all from 300 on for failures of the target. The standard library checks for three digits only.

Change: interim are 100 to 199 but for 101, which no request asks for; final are 200 to 599. Anything else ends the attempt with an unknown outcome (sends: invalid-status), and nothing else of the answer is used: no promise that the request has not run, no MAC, no statement. Relayed parts are read by the same code. The clients of the store, of targets in serve and of callers share a transport with the same check; they did not wait such statuses out, but for the body of a 101.

--- a/caller/client.go
+++ b/caller/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"fescuerill/internal/network"
 	wire "fescuerill/internal/schema/caller"
 )
 
@@ -92,15 +93,16 @@
 // given addresses. Hosts in the given data centre are preferred; dataCentre can be
 // empty.
 func NewClient(dataCentre string, addresses ...string) *Client {
-	return &Client{seeds: addresses, dataCentre: dataCentre, http: &http.Client{
-		Timeout: DefaultTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: idleConns},
-	}}
+	c := &Client{seeds: addresses, dataCentre: dataCentre}
+	c.SetDial((&net.Dialer{}).DialContext)
+	return c
 }
 
 // SetDial sets the function that opens connections. It must be called before any
 // other method.
 func (c *Client) SetDial(f func(ctx context.Context, network, address string) (net.Conn, error)) {
-	c.http.Transport = &http.Transport{MaxIdleConnsPerHost: idleConns, DialContext: f}
+	c.http = network.NewHTTPClient(&http.Transport{MaxIdleConnsPerHost: idleConns, DialContext: f})
+	c.http.Timeout = DefaultTimeout
 }
 
 // Close closes idle connections.
--- a/internal/daemon/target_client.go
+++ b/internal/daemon/target_client.go
@@ -41,7 +41,7 @@
 func newTargetClient(t *settings.Target, n network.Network) *targetClient {
 	p := t.Policy()
 	client := &targetClient{base: "http://" + t.Address(), dialLimiter: rate.NewLimiter(rate.Every(p.MinConnectInterval()), 1)}
-	client.http = &http.Client{Transport: &http.Transport{
+	client.http = network.NewHTTPClient(&http.Transport{
 		MaxConnsPerHost:     min(p.MaxConnections(), p.Slots()+2),
 		MaxIdleConnsPerHost: p.Slots() + 2,
 		DisableCompression:  true,
@@ -59,7 +59,7 @@
 			client.opened.Add(1)
 			return c, nil
 		},
-	}}
+	})
 	return client
 }
 
--- a/internal/serving/exchange/answer.go
+++ b/internal/serving/exchange/answer.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"fescuerill/internal/network"
 )
 
 const (
@@ -81,9 +83,12 @@
 		if err != nil {
 			return Reply{}, err
 		}
-		if r.StatusCode < http.StatusOK {
+		if isInterim(r.StatusCode) {
 			continue
 		}
+		if !network.IsFinalStatus(r.StatusCode) {
+			return Reply{}, network.ErrInvalidStatus
+		}
 		c.source.beginBody()
 		body, err := readBody(r, &c.source.reservation)
 		if err != nil {
@@ -104,6 +109,12 @@
 	}
 }
 
+// isInterim reports whether a status is that of an interim answer, which another answer to the
+// same request follows.
+func isInterim(status int) bool {
+	return http.StatusContinue <= status && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // belongsTo reports whether an answer with the given request ID belongs to the request.
 // A target that has sent IDs sends one with each answer, so an answer without one is not
 // to be trusted.
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -198,6 +198,7 @@
 	reasonConnectionBroken = "connection-broken"
 	reasonSilent           = "silent"
 	reasonBadFormat        = "bad-format"
+	reasonInvalidStatus    = "invalid-status"
 	reasonTruncated        = "truncated"
 	reasonCancelled        = "cancelled"
 	reasonAnswerTooLong    = "answer-too-long"
--- a/internal/serving/exchange/pool.go
+++ b/internal/serving/exchange/pool.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"fescuerill/internal/network"
 	"fescuerill/internal/observe/traffic"
 	"fescuerill/internal/serving/dispatch"
 	"fescuerill/internal/serving/search"
@@ -331,6 +332,8 @@
 		return reasonAnswerTooLong
 	case errors.Is(err, errNoRoom):
 		return reasonNoRoom
+	case errors.Is(err, network.ErrInvalidStatus):
+		return reasonInvalidStatus
 	case errors.Is(err, errMismatchedAnswers):
 		return reasonCrossedAnswers
 	case errors.Is(err, io.ErrUnexpectedEOF):
--- a/store/client.go
+++ b/store/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"fescuerill/internal/network"
 	"fescuerill/internal/schema/platform"
 )
 
@@ -40,7 +41,7 @@
 // NewClient returns a client for the service at the IP address and port.
 func NewClient(address string) *Client {
 	c := &Client{base: "http://" + address, dialFunc: (&net.Dialer{}).DialContext}
-	c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: c.dial}}
+	c.http = network.NewHTTPClient(&http.Transport{MaxIdleConnsPerHost: 4, DialContext: c.dial})
 	return c
 }
 
