Follow no redirections in calls to the store and to targets

The same client is used for exchanges of serve, which may run only once, and by callers.

Cause: the HTTP client of the standard library follows redirections unless it is told not to.

Change: the shared client returns them like other answers. A call goes to the address of the settings only.

--- a/internal/network/client.go
+++ b/internal/network/client.go
@@ -23,10 +23,15 @@
 	return firstFinalStatus <= status && status <= lastFinalStatus
 }
 
-// NewHTTPClient returns a client that fails with ErrInvalidStatus if an answer has no valid
-// status.
+// NewHTTPClient returns a client for calls to one address. It fails with ErrInvalidStatus if an
+// answer has no valid status, and returns redirections like other answers.
 func NewHTTPClient(t *http.Transport) *http.Client {
-	return &http.Client{Transport: statusChecker{t}}
+	return &http.Client{
+		Transport: statusChecker{t},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
 }
 
 // statusChecker is a transport that takes answers without a valid status for none.
--- a/internal/network/client_test.go
+++ b/internal/network/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -76,3 +77,21 @@
 		assert.Equal(t, status, response.StatusCode)
 	}
 }
+
+// TestRedirectionsAreNotFollowed guards against a call, perhaps one that may run only once, that
+// is sent to another server because the one that it was meant for says so.
+func TestRedirectionsAreNotFollowed(t *testing.T) {
+	for _, status := range []int{301, 302, 303, 307, 308} {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			elsewhere, requests := startServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			address, _ := startServer(t, fmt.Sprintf("HTTP/1.1 %d Text\r\nLocation: http://%s/\r\nContent-Length: 0\r\n\r\n", status, elsewhere))
+			r, err := http.NewRequestWithContext(t.Context(), method, "http://"+address, strings.NewReader("body"))
+			require.NoError(t, err)
+			response, err := network.NewHTTPClient(&http.Transport{}).Do(r)
+			require.NoError(t, err)
+			_ = response.Body.Close()
+			assert.Equal(t, status, response.StatusCode)
+			assert.Zero(t, requests.Load())
+		}
+	}
+}
