--- a/internal/serving/gateway/gauges.go
+++ b/internal/serving/gateway/gauges.go
@@ -41,8 +41,8 @@
 }
 
 // UpdateGauges sets the gauges of the gateway: the targets in each state, the additional
-// requests that the retry budgets still allow, the hosts that share them, the memory of answers, and the limit and number
-// of searches in flight.
+// requests that the retry budgets still allow and the hosts that share these, the memory of
+// answers, and the limit and number of searches in flight.
 func (g *Gateway) UpdateGauges(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/serving/gateway/retrybudgets_test.go
+++ b/internal/serving/gateway/retrybudgets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -24,8 +25,11 @@
 )
 
 // failingService is a service of two targets that answer all requests with a failure from some
-// time on. It records the arrivals.
+// time on. It records the arrivals, and the log and the counters of the hosts.
 type failingService struct {
+	log   bytes.Buffer
+	stats stats.Registry
+
 	mu       sync.Mutex
 	failing  bool
 	arrivals []time.Time
@@ -84,13 +88,25 @@
 	}
 	g := gateway.New(ctx, gateway.Options{
 		DataCentre: "d", Fleet: singleHost{}, Decoder: decoder, Protocol: plainProtocol{}, Dial: f.dial, Bounds: bounds,
-		Random: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler), Stats: &stats.Registry{},
+		Random: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.NewTextHandler(&f.log, nil)), Stats: &f.stats,
 	})
 	apply(g, 1, slices.Sorted(maps.Keys(decoder))...)
 	go g.RunMaintenance(ctx)
 	return g
 }
 
+// fail makes all targets fail from now on.
+func (f *failingService) fail() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failing = true
+}
+
+// send sends a request through a host.
+func send(ctx context.Context, g *gateway.Gateway) {
+	g.Serve(ctx, &gateway.Request{ID: "1", Method: http.MethodGet, URI: "/x", Path: "/x", Host: "h", Header: http.Header{}, Arrived: time.Now(), Timeout: 2 * time.Second})
+}
+
 // TestReplacedHostDoesNotSpendRetryBudgetAgain guards against a host that spends what its
 // budget has saved up when the targets begin to fail, is killed, and is replaced by one that
 // knows nothing of that. The targets remember the arrivals of both.
@@ -100,20 +116,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		var f failingService
 		began := time.Now()
-		requests := 0
 		run := func(length time.Duration) {
 			ctx, cancel := context.WithCancel(t.Context())
 			g := f.startGateway(ctx, bounds)
 			var callers sync.WaitGroup
 			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(interval) {
-				requests++
-				callers.Go(func() {
-					g.Serve(ctx, &gateway.Request{ID: "1", Method: http.MethodGet, URI: "/x", Path: "/x", Host: "h", Header: http.Header{}, Arrived: time.Now(), Timeout: 2 * time.Second})
-				})
+				callers.Go(func() { send(ctx, g) })
 				if time.Since(began) > 15*time.Second {
-					f.mu.Lock()
-					f.failing = true
-					f.mu.Unlock()
+					f.fail()
 				}
 			}
 			cancel()
@@ -132,3 +142,50 @@
 		assert.Greater(t, float64(most), allowed/2, "the budget is used")
 	})
 }
+
+// TestReloadDoesNotRefillRetryBudget changes the bounds again and again while targets fail.
+func TestReloadDoesNotRefillRetryBudget(t *testing.T) {
+	bounds := gateway.Bounds{RetryFraction: 0.2, RetryWindow: 10 * time.Second, RetryAllowance: 50}
+	synctest.Test(t, func(t *testing.T) {
+		var f failingService
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		g := f.startGateway(ctx, bounds)
+		left := func() int64 {
+			g.UpdateGauges(time.Now())
+			n := int64(-1)
+			f.stats.Each(func(name string, v int64) {
+				if name == "retry-budget-left-s" {
+					n = v
+				}
+			})
+			return n
+		}
+		f.fail()
+		for n := range 5 {
+			send(ctx, g)
+			before := left()
+			bounds.RetryAllowance = float64(60 + n)
+			g.SetBounds(bounds)
+			send(ctx, g)
+			assert.LessOrEqual(t, left(), before+1)
+		}
+	})
+}
+
+// TestSpendingOfRetryBudgetsIsLogged checks the line from which operators tell which process has
+// spent a budget.
+func TestSpendingOfRetryBudgetsIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var f failingService
+		f.fail()
+		ctx, cancel := context.WithCancel(t.Context())
+		g := f.startGateway(ctx, gateway.Bounds{RetryFraction: 1, RetryWindow: 10 * time.Second, RetryAllowance: 50})
+		time.Sleep(1100 * time.Millisecond)
+		send(ctx, g)
+		time.Sleep(1100 * time.Millisecond)
+		cancel()
+		synctest.Wait()
+		assert.Regexp(t, `msg="retry budgets" uptime-ms=\d+ services=1 allowed=[1-9]\d* refused=\d+ most=s:1/[1-9]\d*/\d+`, f.log.String())
+	})
+}
