Divide the retry allowance among all hosts while on standby

By the lines on spending a shard got up to 365 retries and hedges in ten seconds; 273 are allowed.

Cause: counting silent hosts, dropped that a host on standby divides the allowance by all others. It saved up the share of one of a few active hosts, and so did each of those that took over in turn.

Change: CountSenders returns all others for a host on standby, and the possibly active ones for an active host.

--- a/internal/fleet/directory/senders.go
+++ b/internal/fleet/directory/senders.go
@@ -26,11 +26,18 @@
 	return max(1, s.most)
 }
 
-// CountPossiblyActive returns the number of active hosts as observed by a host, or the number
-// that there would be if the silent ones were alive, if that is more. Silent hosts may only be
-// cut off from this one, and be active and send to the same targets. share returns the share of
+// CountSenders returns the number of hosts among which the one at an address divides an
+// allowance: the active ones, or those that there would be if the silent hosts were alive, if
+// these are more. Silent hosts may only be cut off from this one, and be active and send to the
+// same targets. A host on standby divides it among all others, so that those that become active
+// one after another do not come each with the share of an active one. share returns the share of
 // the cores that is active among some hosts.
-func CountPossiblyActive(alive, silent []Host, share func([]Host) Share) int {
+func CountSenders(address string, alive, silent []Host, share func([]Host) Share) int {
+	isSelf := func(h Host) bool { return h.Address == address }
+	active := AppendActive(nil, alive, share(alive))
 	possible := slices.Concat(alive, silent)
-	return max(len(AppendActive(nil, alive, share(alive))), len(AppendActive(nil, possible, share(possible))))
+	if !slices.ContainsFunc(active, isSelf) {
+		return max(1, len(slices.DeleteFunc(possible, isSelf)))
+	}
+	return max(len(active), len(AppendActive(nil, possible, share(possible))))
 }
--- a/internal/serving/server/active.go
+++ b/internal/serving/server/active.go
@@ -77,7 +77,7 @@
 		a.local, a.total = max(1, alive), max(1, alive)
 	}
 	share := func(hosts []directory.Host) directory.Share { return s.activeShare(now, hosts) }
-	a.senders = s.senders.Observe(now, directory.CountPossiblyActive(known, silent, share))
+	a.senders = s.senders.Observe(now, directory.CountSenders(self.Address, known, silent, share))
 	return a
 }
 
