--- /dev/null
+++ b/review/standin-3/journal.go
@@ -0,0 +1,72 @@
+//go:build review
+
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// run is one run of a request at a backend.
+type run struct {
+	at      time.Time
+	backend *backend
+}
+
+// journal records what was sent, answered and run.
+type journal struct {
+	startedAt time.Time
+
+	mu   sync.Mutex
+	file *os.File
+	out  *bufio.Writer
+	runs map[string][]run
+}
+
+// newJournal creates the record file.
+func newJournal(path string) (*journal, error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	return &journal{startedAt: time.Now(), file: f, out: bufio.NewWriter(f), runs: map[string][]run{}}, nil
+}
+
+// note adds a line.
+func (j *journal) note(format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.line(format, args...)
+}
+
+// line adds a line. The journal is locked.
+func (j *journal) line(format string, args ...any) {
+	_, _ = fmt.Fprintf(j.out, "%8.3f ", time.Since(j.startedAt).Seconds())
+	_, _ = fmt.Fprintf(j.out, format+"\n", args...)
+}
+
+// ran records that a backend runs a request.
+func (j *journal) ran(id string, b *backend, method, uri string, body []byte) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.runs[id] = append(j.runs[id], run{time.Now(), b})
+	j.line("run %s at %s of %s: %s %s, body of %d bytes", id, b.id, b.service, method, uri, len(body))
+}
+
+// runsOf returns the runs of a request.
+func (j *journal) runsOf(id string) []run {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]run(nil), j.runs[id]...)
+}
+
+// close writes the file to its end.
+func (j *journal) close() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	_ = j.out.Flush()
+	_ = j.file.Close()
+}
