review: no host takes a manifest that follows one lost by the store

Case 12: a manifest is lost in a return of the store from a copy 5 s old and written again, and another follows 2 s later.

--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -45,6 +45,11 @@
 
 // send sends one attempt to a machine and records it.
 func (c *client) send(ctx context.Context, m *machine, method, path string, body []byte, limit time.Duration) answer {
+	return c.sendKnown(ctx, m, method, path, body, limit, func(string) {})
+}
+
+// sendKnown is send that tells the ID of the attempt before it is sent.
+func (c *client) sendKnown(ctx context.Context, m *machine, method, path string, body []byte, limit time.Duration, tell func(id string)) answer {
 	a := answer{id: fmt.Sprintf("%08x%08x", c.number.Add(1), time.Now().UnixNano()&0xffffffff), sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, limit+3*time.Second)
 	defer cancel()
@@ -56,6 +61,7 @@
 	r.Host = hostName
 	r.Header.Set("X-Request-Id", a.id)
 	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
+	tell(a.id)
 	c.journal.note("send %s to %s: %s %s", a.id, m.name, method, path)
 	response, err := c.http.Do(r)
 	if err == nil {
--- a/review/standin-3/restore.go
+++ b/review/standin-3/restore.go
@@ -8,7 +8,10 @@
 	"time"
 )
 
-func init() { cases["restored-store"] = restoredStore }
+func init() {
+	cases["restored-store"] = func(d *deployment) ([]string, error) { return restoredStore(d, false) }
+	cases["restored-store-rewritten"] = func(d *deployment) ([]string, error) { return restoredStore(d, true) }
+}
 
 const (
 	// copyAge is the age of the copy from which the store comes back, and awayTime how long it
@@ -17,6 +20,10 @@
 	awayTime = time.Second
 	// changeDelay is the time from the return of the store to the change of the manifest.
 	changeDelay = 2 * time.Second
+	// lostDelay is the time from the manifest that the store loses to the end of its answers, and
+	// rewriteDelay the one from the return of the store until that manifest is written again.
+	lostDelay    = time.Second
+	rewriteDelay = 300 * time.Millisecond
 	// applyTime is the time after the ack of a manifest after which all machines in touch have
 	// to use it: config_apply_ms, contact_ms and skew_max_ms together.
 	applyTime = 3*time.Second + 4*time.Second + 12*time.Second
@@ -26,8 +33,9 @@
 var zones = []string{"khomas-a", "khomas-b", "khomas-c"}
 
 // restoredStore brings the store back from a copy some seconds old, lets the operator write a
-// manifest soon after, and asks each machine for the routes that it added and moved.
-func restoredStore(d *deployment) ([]string, error) {
+// manifest soon after, and asks each machine for the routes that it added and moved. If rewritten
+// is set, the store has lost the manifest before, and the operator writes that again first.
+func restoredStore(d *deployment, rewritten bool) ([]string, error) {
 	services := map[string]int{"kafi81c": 110, "steward7d": 110}
 	var all []string
 	for n := range shards {
@@ -57,6 +65,12 @@
 			return nil, fmt.Errorf("%s does not serve before the disruption: status %d", m.name, a.status)
 		}
 	}
+	lost := manifestOf(8, services, search, single("r-card", "/timi402/", "kafi81c", "safe", 3500))
+	if rewritten {
+		revision := d.store.put("op/config", lost)
+		d.journal.note("the store acknowledges version 8 at revision %d: r-card gets another time-out", revision)
+		d.sleep(lostDelay)
+	}
 	leftAt := time.Now()
 	if d.trouble {
 		d.store.leave()
@@ -67,6 +81,10 @@
 		before, now := d.store.returnFromCopy(copyAge, leftAt)
 		d.journal.note("the store is back from a copy; revision %d before, %d now", before, now)
 	}
+	if rewritten && d.trouble {
+		d.sleep(rewriteDelay)
+		d.journal.note("the operator writes version 8 again, at revision %d", d.store.put("op/config", lost))
+	}
 	d.sleep(changeDelay)
 	revision := d.store.put("op/config", manifestOf(9, services, search,
 		single("r-card", "/timi402/", "steward7d", "safe", 4000), single("r-added", "/bapu561/", "steward7d", "safe", 4000)))
