Show that one odd entry hides what a backend writes later

review/13 is a script case for DRAIN: an entry of another writer with a start far in the future stands under a backend's id for one heartbeat. All hosts then ignore the backend's own entries and send it requests 5.0 to 5.7 s after the ack that it is draining.

--- a/review/standin-3/backend.go
+++ b/review/standin-3/backend.go
@@ -80,9 +80,28 @@
 	if b.stopped {
 		return 0
 	}
+	return b.writeEntry(b.born)
+}
+
+// hasJustWritten returns a condition that holds from the next heartbeat on.
+func (b *backend) hasJustWritten() func() bool {
+	last := b.sequence.Load()
+	return func() bool { return b.sequence.Load() != last }
+}
+
+// writeOddEntry writes the entry of the backend with another time of its start, as another
+// writer.
+func (b *backend) writeOddEntry(born int64) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.writeEntry(born)
+}
+
+// writeEntry writes the entry with a time of the start. The backend is locked.
+func (b *backend) writeEntry(born int64) int64 {
 	return b.store.put("servers/"+b.id, map[string]any{
 		"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "concurrency": b.slots,
-		"state": b.state, "warmup_left_ms": 0, "sequence": b.sequence.Add(1), "born": b.born,
+		"state": b.state, "warmup_left_ms": 0, "sequence": b.sequence.Add(1), "born": born,
 	})
 }
 
--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -62,7 +62,7 @@
 	r.Header.Set("X-Request-Id", a.id)
 	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
 	tell(a.id)
-	c.journal.note("send %s to %s: %s %s", a.id, m.name, method, path)
+	c.journal.sent(a.id, m.name, method, path)
 	response, err := c.http.Do(r)
 	if err == nil {
 		a.status, a.header = response.StatusCode, response.Header
--- a/review/standin-3/journal.go
+++ b/review/standin-3/journal.go
@@ -6,12 +6,14 @@
 	"bufio"
 	"fmt"
 	"os"
+	"sort"
 	"sync"
 	"time"
 )
 
 // run is one run of a request at a backend.
 type run struct {
+	id      string
 	at      time.Time
 	backend *backend
 }
@@ -24,6 +26,8 @@
 	file *os.File
 	out  *bufio.Writer
 	runs map[string][]run
+	// machines are the machines that got the requests, by the IDs of these.
+	machines map[string]string
 }
 
 // newJournal creates the record file.
@@ -32,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &journal{startedAt: time.Now(), file: f, out: bufio.NewWriter(f), runs: map[string][]run{}}, nil
+	return &journal{startedAt: time.Now(), file: f, out: bufio.NewWriter(f), runs: map[string][]run{}, machines: map[string]string{}}, nil
 }
 
 // note adds a line.
@@ -52,7 +56,7 @@
 func (j *journal) ran(id string, b *backend, method, uri string, body []byte) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.runs[id] = append(j.runs[id], run{time.Now(), b})
+	j.runs[id] = append(j.runs[id], run{id, time.Now(), b})
 	j.line("run %s at %s of %s: %s %s, body of %d bytes", id, b.id, b.service, method, uri, len(body))
 }
 
@@ -63,6 +67,37 @@
 	return append([]run(nil), j.runs[id]...)
 }
 
+// runsAt returns the runs at a backend.
+func (j *journal) runsAt(b *backend) []run {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var all []run
+	for _, runs := range j.runs {
+		for _, r := range runs {
+			if r.backend == b {
+				all = append(all, r)
+			}
+		}
+	}
+	sort.Slice(all, func(x, y int) bool { return all[x].at.Before(all[y].at) })
+	return all
+}
+
+// sent records that a request is sent to a machine.
+func (j *journal) sent(id, machine, method, path string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.machines[id] = machine
+	j.line("send %s to %s: %s %s", id, machine, method, path)
+}
+
+// machineOf returns the name of the machine to which a request was sent.
+func (j *journal) machineOf(id string) string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.machines[id]
+}
+
 // close writes the file to its end.
 func (j *journal) close() {
 	j.mu.Lock()
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -115,12 +115,12 @@
 	return nil
 }
 
-// addBackends starts backends of a service, one in each of the zones.
+// addBackends starts backends of a service, one for each zone of the list.
 func (d *deployment) addBackends(service string, zones []string, slots, records int, work time.Duration) ([]*backend, error) {
 	var added []*backend
 	for _, zone := range zones {
 		b := &backend{
-			id: fmt.Sprintf("i-%s-%s", service, zone), service: service, zone: zone, slots: slots, records: records, work: work,
+			id: fmt.Sprintf("i-%s-%s-%d", service, zone, len(d.backends)), service: service, zone: zone, slots: slots, records: records, work: work,
 			store: d.store, journal: d.journal,
 		}
 		if err := b.start(fmt.Sprintf("127.%d.10.%d", d.network, 1+len(d.backends)%250)); err != nil {
