Log the era of the store and count what its revisions hide

The logs had neither the era that the store states in its answers nor a trace of items and updates that were left out because of their revisions.

New: the line "store era", the gauge store-era, and the counters store-items-outdated and updates-for-hosts-ahead. No decision changes.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -53,6 +53,9 @@
 	// complete, as soon as there are any; none if there are none during the wait. The
 	// error is ErrCompacted if the changes are no longer available.
 	Watch(ctx context.Context, after int64, wait time.Duration) ([]Item, int64, error)
+	// Era returns the era of the store as of its last answer to any call, or 0 if it has not
+	// stated one. The store begins a new era when it comes back from a copy.
+	Era() int64
 }
 
 // Update holds the changes of the store after a revision, or all its items, as another
@@ -105,7 +108,9 @@
 	// oldestRevision is the revision from which tombstones has all deletions. A host at
 	// an earlier revision needs a full update.
 	oldestRevision int64
-	storeLost      bool
+	// era is the last known era of the store.
+	era       int64
+	storeLost bool
 	// changedAt is when the store was last lost or regained.
 	changedAt time.Time
 }
@@ -119,6 +124,7 @@
 // Run follows the store until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		f.noteEra()
 		hasReader, hasPeers := f.peers.HasReader(), f.peers.HasLive()
 		f.mu.Lock()
 		action, at := f.cursor.Next(time.Now(), hasReader, hasPeers)
@@ -137,6 +143,20 @@
 	}
 }
 
+// noteEra logs when the store states another era than before.
+func (f *Feed) noteEra() {
+	era := f.source.Era()
+	f.mu.Lock()
+	before, revision := f.era, f.cursor.Revision()
+	f.era = era
+	f.mu.Unlock()
+	if era == before {
+		return
+	}
+	f.stats.SetGauge("store-era", int(era))
+	f.log.Info("store era", "before", before, "era", era, "revision", revision)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(max(d, time.Millisecond))
 	defer t.Stop()
@@ -270,7 +290,10 @@
 		f.oldestRevision = max(f.oldestRevision, f.cursor.Revision())
 	}
 	for _, i := range items {
-		if i.Revision <= f.items[i.Key].Revision {
+		if known := f.items[i.Key].Revision; i.Revision <= known {
+			if i.Revision < known {
+				f.stats.Add("store-items-outdated", 1)
+			}
 			continue
 		}
 		changed = append(changed, i)
@@ -324,6 +347,9 @@
 	if !f.cursor.Listed() {
 		return Update{}, false
 	}
+	if after > f.cursor.Revision() {
+		f.stats.Add("updates-for-hosts-ahead", 1)
+	}
 	update := Update{
 		Revision: f.cursor.Revision(), Full: full || after < f.oldestRevision,
 		Age: now.Sub(f.cursor.LastReply()), LastOutage: f.cursor.ReaderOutage(),
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -76,6 +76,8 @@
 	return all, s.revision, nil
 }
 
+func (s *store) Era() int64 { return 0 }
+
 func (s *store) Watch(_ context.Context, after int64, _ time.Duration) ([]feed.Item, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
