--- a/internal/fleet/feed/cursor.go
+++ b/internal/fleet/feed/cursor.go
@@ -32,6 +32,10 @@
 	// peerBackoff is how long no updates are requested from other hosts after one
 	// failed to answer or its update was too old.
 	peerBackoff = 2500 * time.Millisecond
+	// eraFetchTimeout is how long a host that knows of a new era of the store waits for its
+	// reader to provide all items of that era, before it lists them itself: if all hosts did
+	// at once, the store would return to a crowd.
+	eraFetchTimeout = 2 * time.Second
 )
 
 // Action is the next step of a host that follows the store.
@@ -53,8 +57,12 @@
 // host instead. The zero value is that of a host that has read nothing. It is not safe
 // for concurrent use.
 type Cursor struct {
-	revision int64
+	position Position
 	listed   bool
+	// newestEra is the latest era of the store that this host or another one has seen, and
+	// eraSeenAt is when this host learned of it.
+	newestEra int64
+	eraSeenAt time.Time
 	// compacted is set while changes are missing that the store has lost.
 	compacted  bool
 	failures   int
@@ -78,8 +86,15 @@
 	returnEnd time.Time
 }
 
-// Revision returns the revision up to which changes of the store are known.
-func (c *Cursor) Revision() int64 { return c.revision }
+// Position returns the position up to which changes of the store are known.
+func (c *Cursor) Position() Position { return c.position }
+
+// NewestEra returns the latest known era of the store. Until the items of that era have been
+// read, it is later than that of Position.
+func (c *Cursor) NewestEra() int64 { return max(c.newestEra, c.position.Era()) }
+
+// leftBehind reports whether the known items are of an earlier era of the store.
+func (c *Cursor) leftBehind() bool { return c.listed && c.newestEra > c.position.Era() }
 
 // Listed reports whether a full list of the items has been read, from the store or
 // from another host.
@@ -122,6 +137,11 @@
 	switch {
 	case !c.listed:
 		return List, now
+	case c.leftBehind():
+		if hasReader && now.Sub(c.eraSeenAt) < eraFetchTimeout {
+			return Fetch, now
+		}
+		return List, now
 	case hasReader && c.failures == 0 && now.After(c.peerBackoffEnd):
 		return Fetch, now
 	case c.compacted:
@@ -142,9 +162,16 @@
 }
 
 // StoreReplied records that the store answered a call that started at began, with all
-// items or with the changes, up to a revision.
-func (c *Cursor) StoreReplied(began, now time.Time, revision int64) {
-	c.revision = max(c.revision, revision)
+// items or with the changes, up to a position.
+func (c *Cursor) StoreReplied(began, now time.Time, position Position) {
+	if c.listed && position.Era() > c.NewestEra() {
+		c.lastOutage, c.returnEnd = now, now.Add(returnPeriod)
+	}
+	if began.After(c.eraSeenAt) {
+		// Whatever was reported before, this is the era of the store.
+		c.newestEra = position.Era()
+	}
+	c.advance(position)
 	c.listed, c.compacted = true, false
 	if c.failures > 0 {
 		c.returnEnd = now.Add(returnPeriod)
@@ -154,6 +181,28 @@
 	c.nextCall = began.Add(c.interval(now))
 }
 
+// advance moves the position forward to that of an answer.
+func (c *Cursor) advance(position Position) {
+	if c.position.Before(position) {
+		c.position = position
+	}
+}
+
+// EraSeen records that this host, or another one, got an answer of the store in an era. If the
+// era is new, the store has come back from a copy, and all items must be read anew: from the
+// reader, which must read them itself first, or else from the store.
+func (c *Cursor) EraSeen(now time.Time, era int64) {
+	if era <= c.NewestEra() {
+		return
+	}
+	c.newestEra, c.eraSeenAt = era, now
+	if !c.listed {
+		return
+	}
+	c.lastOutage, c.returnEnd = now, now.Add(returnPeriod)
+	c.peerBackoffEnd, c.nextCall = time.Time{}, now
+}
+
 // interval returns the minimum time between two calls for changes.
 func (c *Cursor) interval(now time.Time) time.Duration {
 	if now.Before(c.returnEnd) {
@@ -163,10 +212,10 @@
 }
 
 // PeerReplied records an update from another host, which knows the store up to a
-// revision and last had a reply from it the given age ago. lastOutage is the time of the
+// position and last had a reply from it the given age ago. lastOutage is the time of the
 // last store outage that the host reported, or zero.
-func (c *Cursor) PeerReplied(began, now time.Time, revision int64, age time.Duration, lastOutage time.Time) {
-	c.revision = max(c.revision, revision)
+func (c *Cursor) PeerReplied(began, now time.Time, position Position, age time.Duration, lastOutage time.Time) {
+	c.advance(position)
 	c.listed = true
 	if lastOutage.After(c.peerOutage) {
 		c.peerOutage = lastOutage
@@ -205,6 +254,19 @@
 	c.nextCall = began.Add(c.interval(now) / 2)
 }
 
+// PeerBehind records that another host replied that knows only an earlier era of the store. The
+// request has told it of the later one, so it is asked again soon.
+func (c *Cursor) PeerBehind(began, now time.Time) {
+	c.currentUpdateAt, c.peerRepliedAt = time.Time{}, now
+	switch {
+	case c.failures > 0 && !c.leavesStoreToOthers(now):
+	case c.failures == 0 && !c.leftBehind() && now.Sub(c.lastReply) > maxUpdateAge:
+		c.peerBackoffEnd, c.nextCall = now.Add(peerBackoff), now
+	default:
+		c.nextCall = began.Add(returnInterval)
+	}
+}
+
 // PeerFailed records that no update was received from another host.
 func (c *Cursor) PeerFailed(now time.Time) {
 	c.currentUpdateAt, c.peerRepliedAt = time.Time{}, time.Time{}
--- a/internal/fleet/feed/cursor_test.go
+++ b/internal/fleet/feed/cursor_test.go
@@ -15,7 +15,7 @@
 
 func listed() *feed.Cursor {
 	var c feed.Cursor
-	c.StoreReplied(at(0), at(5), 100)
+	c.StoreReplied(at(0), at(5), feed.At(0, 100))
 	return &c
 }
 
@@ -27,28 +27,28 @@
 func TestCursorListsThenWatchesAtInterval(t *testing.T) {
 	var c feed.Cursor
 	assert.Equal(t, feed.List, next(&c, 0, true, true))
-	c.StoreReplied(at(0), at(5), 100)
+	c.StoreReplied(at(0), at(5), feed.At(0, 100))
 	assert.Equal(t, feed.None, next(&c, 900, false, true))
 	assert.Equal(t, feed.Watch, next(&c, 1000, false, true))
-	c.StoreReplied(at(1000), at(1010), 120)
-	assert.Equal(t, int64(120), c.Revision())
-	c.StoreReplied(at(1000), at(1020), 110)
-	assert.Equal(t, int64(120), c.Revision(), "a stale reply does not decrease the revision")
+	c.StoreReplied(at(1000), at(1010), feed.At(0, 120))
+	assert.Equal(t, feed.At(0, 120), c.Position())
+	c.StoreReplied(at(1000), at(1020), feed.At(0, 110))
+	assert.Equal(t, feed.At(0, 120), c.Position(), "a stale reply does not decrease the revision")
 }
 
 func TestHostWithReaderDoesNotCallStore(t *testing.T) {
 	c := listed()
 	for ms := 1000; ms < 60_000; ms += 500 {
 		assert.Equal(t, feed.Fetch, next(c, ms, true, true))
-		c.PeerReplied(at(ms), at(ms+1), 100, 300*time.Millisecond, time.Time{})
+		c.PeerReplied(at(ms), at(ms+1), feed.At(0, 100), 300*time.Millisecond, time.Time{})
 	}
 }
 
 func TestHostReadsStoreWhenReaderIsBehindOrSilent(t *testing.T) {
 	c := listed()
-	c.PeerReplied(at(1000), at(1001), 100, 3*time.Second, time.Time{})
+	c.PeerReplied(at(1000), at(1001), feed.At(0, 100), 3*time.Second, time.Time{})
 	assert.Equal(t, feed.Watch, next(c, 1001, true, true))
-	c.StoreReplied(at(1001), at(1010), 101)
+	c.StoreReplied(at(1001), at(1010), feed.At(0, 101))
 	assert.Equal(t, feed.Watch, next(c, 2001, true, true), "no updates are fetched during the back-off")
 	assert.Equal(t, feed.Fetch, next(c, 5000, true, true))
 	c.PeerFailed(at(5000))
@@ -68,7 +68,7 @@
 			c.StoreFailed(at(ms), false)
 		case feed.Fetch:
 			fetched++
-			c.PeerReplied(at(ms), at(ms), 100, age, time.Time{})
+			c.PeerReplied(at(ms), at(ms), feed.At(0, 100), age, time.Time{})
 		default:
 			ms = int(when.Sub(at(0)).Milliseconds())
 		}
@@ -90,7 +90,7 @@
 	c.StoreFailed(at(1000), false)
 	assert.True(t, c.LastOutage().IsZero())
 	assert.False(t, c.Reachable())
-	c.StoreReplied(at(1100), at(1101), 101)
+	c.StoreReplied(at(1100), at(1101), feed.At(0, 101))
 	assert.True(t, c.Reachable())
 	c.Compacted(at(2000))
 	assert.Equal(t, at(2000), c.LastOutage())
@@ -117,19 +117,19 @@
 	reader := listed()
 	reader.StoreFailed(at(1000), false)
 	reader.StoreFailed(at(2000), false)
-	reader.StoreReplied(at(3000), at(3010), 110)
+	reader.StoreReplied(at(3000), at(3010), feed.At(0, 110))
 	assert.Equal(t, feed.None, next(reader, 3240, false, true))
 	assert.Equal(t, feed.Watch, next(reader, 3250, false, true))
-	reader.StoreReplied(at(6020), at(6030), 120)
+	reader.StoreReplied(at(6020), at(6030), feed.At(0, 120))
 	assert.Equal(t, feed.None, next(reader, 6900, false, true))
 
 	other := listed()
-	other.PeerReplied(at(3020), at(3021), 110, 10*time.Millisecond, at(2000))
+	other.PeerReplied(at(3020), at(3021), feed.At(0, 110), 10*time.Millisecond, at(2000))
 	assert.Equal(t, feed.None, next(other, 3140, true, true))
 	assert.Equal(t, feed.Fetch, next(other, 3145, true, true))
-	other.PeerReplied(at(5900), at(5901), 120, 10*time.Millisecond, at(2000))
+	other.PeerReplied(at(5900), at(5901), feed.At(0, 120), 10*time.Millisecond, at(2000))
 	assert.Equal(t, feed.Fetch, next(other, 6025, true, true), "the store may have returned at 3 s")
-	other.PeerReplied(at(6025), at(6026), 120, 10*time.Millisecond, at(2000))
+	other.PeerReplied(at(6025), at(6026), feed.At(0, 120), 10*time.Millisecond, at(2000))
 	assert.Equal(t, feed.None, next(other, 6500, true, true))
 }
 
@@ -151,13 +151,13 @@
 // updates of the reader.
 func TestStoreIsLeftToReaderInOutage(t *testing.T) {
 	c := listed()
-	c.PeerReplied(at(900), at(900), 100, 3*time.Second, time.Time{})
+	c.PeerReplied(at(900), at(900), feed.At(0, 100), 3*time.Second, time.Time{})
 	calls, fetched := runWithoutStore(c, 61_000, 10*time.Second, true)
 	assert.LessOrEqual(t, calls, 17, "a call in 4 s")
 	assert.GreaterOrEqual(t, fetched, 90, "an update each half second, but for the calls")
 
 	c = listed()
-	c.PeerReplied(at(900), at(900), 100, 3*time.Second, time.Time{})
+	c.PeerReplied(at(900), at(900), feed.At(0, 100), 3*time.Second, time.Time{})
 	c.StoreFailed(at(1000), false)
 	assert.Equal(t, feed.Fetch, next(c, 1200, true, true))
 	c.PeerFailed(at(1200))
@@ -178,15 +178,15 @@
 		t.Run(name, func(t *testing.T) {
 			c := listed()
 			assert.Equal(t, feed.Fetch, next(c, 1000, true, true))
-			c.PeerReplied(at(1000), at(1000), 100, 3*time.Second, time.Time{})
+			c.PeerReplied(at(1000), at(1000), feed.At(0, 100), 3*time.Second, time.Time{})
 			fault(c)
 			c.Next(at(2000), true, true)
-			c.PeerReplied(at(2000), at(2000), 110, 100*time.Millisecond, at(1900))
+			c.PeerReplied(at(2000), at(2000), feed.At(0, 110), 100*time.Millisecond, at(1900))
 			assert.True(t, c.Reachable())
 			for ms := 2500; ms < 60_000; ms += 500 {
 				action := next(c, ms, true, true)
 				assert.Equal(t, feed.Fetch, action)
-				c.PeerReplied(at(ms), at(ms), 110, 100*time.Millisecond, at(1900))
+				c.PeerReplied(at(ms), at(ms), feed.At(0, 110), 100*time.Millisecond, at(1900))
 			}
 		})
 	}
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -47,22 +47,37 @@
 // Source is the platform's store. The errors of its calls are ErrUnreachable if a call did
 // not reach the store.
 type Source interface {
-	// List returns all items and the revision up to which they contain all changes.
-	List(ctx context.Context) ([]Item, int64, error)
-	// Watch returns the changes after a revision and the revision up to which they are
+	// List returns all items and the position up to which they contain all changes.
+	List(ctx context.Context) ([]Item, Position, error)
+	// Watch returns the changes after a revision and the position up to which they are
 	// complete, as soon as there are any; none if there are none during the wait. The
-	// error is ErrCompacted if the changes are no longer available.
-	Watch(ctx context.Context, after int64, wait time.Duration) ([]Item, int64, error)
+	// error is ErrCompacted if the changes are no longer available. If the position is not in
+	// the era of the revision, the changes have gaps.
+	Watch(ctx context.Context, after int64, wait time.Duration) ([]Item, Position, error)
 	// Era returns the era of the store as of its last answer to any call, or 0 if it has not
 	// stated one. The store begins a new era when it comes back from a copy.
 	Era() int64
 }
 
-// Update holds the changes of the store after a revision, or all its items, as another
+// Request is a request of a host to another one for an update.
+type Request struct {
+	// After is the position up to which the requesting host knows all changes.
+	After Position
+	// AnyEra is set if After has no era, as in requests of hosts that know of none. Its
+	// revision then counts in the era of the host that replies.
+	AnyEra bool
+	// NewestEra is the latest era of the store of which the requesting host knows.
+	NewestEra int64
+	// Full requests all items.
+	Full bool
+}
+
+// Update holds the changes of the store after a position, or all its items, as another
 // host knows them.
 type Update struct {
-	Items    []Item
-	Revision int64
+	Items []Item
+	// Position is the position up to which the host that replies knows all changes.
+	Position Position
 	// Full is set if Items are all items of the store.
 	Full bool
 	// Age is the time since the store last answered that host.
@@ -79,9 +94,9 @@
 	HasReader() bool
 	// HasLive reports whether any other host is alive.
 	HasLive() bool
-	// FetchUpdate requests the changes after a revision from the designated reader or, if
-	// there is none, from any host. If full is set, it requests all items from any host.
-	FetchUpdate(ctx context.Context, after int64, full bool) (Update, error)
+	// FetchUpdate sends a request to the designated reader or, if there is none, to any host.
+	// A full update is requested from any host.
+	FetchUpdate(ctx context.Context, r Request) (Update, error)
 }
 
 // Sink receives the items that have changed.
@@ -106,11 +121,9 @@
 	items      map[string]Item
 	tombstones []Item
 	// oldestRevision is the revision from which tombstones has all deletions. A host at
-	// an earlier revision needs a full update.
+	// an earlier revision, or in an earlier era, needs a full update.
 	oldestRevision int64
-	// era is the last known era of the store.
-	era       int64
-	storeLost bool
+	storeLost      bool
 	// changedAt is when the store was last lost or regained.
 	changedAt time.Time
 }
@@ -124,11 +137,11 @@
 // Run follows the store until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		f.noteEra()
+		f.noteEra(f.source.Era(), "store")
 		hasReader, hasPeers := f.peers.HasReader(), f.peers.HasLive()
 		f.mu.Lock()
 		action, at := f.cursor.Next(time.Now(), hasReader, hasPeers)
-		after, listed := f.cursor.Revision(), f.cursor.Listed()
+		request := Request{After: f.cursor.Position(), NewestEra: f.cursor.NewestEra(), Full: !f.cursor.Listed()}
 		f.mu.Unlock()
 		switch action {
 		case None:
@@ -136,25 +149,24 @@
 		case List:
 			f.list(ctx)
 		case Watch:
-			f.watch(ctx, after)
+			f.watch(ctx, request.After)
 		case Fetch:
-			f.fetch(ctx, after, !listed)
+			f.fetch(ctx, request)
 		}
 	}
 }
 
-// noteEra logs when the store states another era than before.
-func (f *Feed) noteEra() {
-	era := f.source.Era()
+// noteEra takes notice of an era of the store that this host or another one has seen.
+func (f *Feed) noteEra(era int64, through string) {
 	f.mu.Lock()
-	before, revision := f.era, f.cursor.Revision()
-	f.era = era
+	before, listed := f.cursor.Position(), f.cursor.Listed()
+	isNew := era > f.cursor.NewestEra()
+	f.cursor.EraSeen(time.Now(), era)
 	f.mu.Unlock()
-	if era == before {
-		return
+	if isNew && listed {
+		f.stats.Add("store-eras-begun", 1)
+		f.log.Info("store era begun", "known", before, "era", era, "through", through)
 	}
-	f.stats.SetGauge("store-era", int(era))
-	f.log.Info("store era", "before", before, "era", era, "revision", revision)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -170,40 +182,42 @@
 	began := time.Now()
 	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	items, revision, err := f.source.List(call)
+	items, position, err := f.source.List(call)
 	f.stats.Add("store-lists", 1)
 	if err != nil {
 		f.storeFailed(ctx, "list", began, err)
 		return
 	}
-	f.storeReplied(began, items, revision, true)
+	f.storeReplied(ctx, began, items, position, true)
 }
 
-func (f *Feed) watch(ctx context.Context, after int64) {
+func (f *Feed) watch(ctx context.Context, after Position) {
 	began := time.Now()
 	call, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	defer cancel()
-	items, revision, err := f.source.Watch(call, after, watchWait)
+	items, position, err := f.source.Watch(call, after.Revision(), watchWait)
 	f.stats.Add("store-watches", 1)
 	switch {
 	case errors.Is(err, ErrCompacted):
 		f.stats.Add("store-history-forgotten", 1)
-		f.log.Info("store history forgotten", "revision", after)
+		f.log.Info("store history forgotten", "known", after)
 		f.mu.Lock()
 		f.cursor.Compacted(time.Now())
 		f.mu.Unlock()
 	case err != nil:
 		f.storeFailed(ctx, "watch", began, err)
+	case position.Era() > after.Era():
+		f.noteEra(position.Era(), "store")
 	default:
-		f.storeReplied(began, items, revision, false)
+		f.storeReplied(ctx, began, items, position, false)
 	}
 }
 
-func (f *Feed) fetch(ctx context.Context, after int64, full bool) {
+func (f *Feed) fetch(ctx context.Context, request Request) {
 	began := time.Now()
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	update, err := f.peers.FetchUpdate(call, after, full)
+	update, err := f.peers.FetchUpdate(call, request)
 	f.stats.Add("store-asked-of-hosts", 1)
 	now := time.Now()
 	if err != nil {
@@ -214,9 +228,14 @@
 		f.mu.Unlock()
 		return
 	}
+	if before := request.After; update.Position.Era() < before.Era() || update.Position.Era() > before.Era() && !update.Full {
+		f.peerBehind(began, now, before, update.Position)
+		return
+	}
 	f.mu.Lock()
-	older := update.Revision < f.cursor.Revision()
-	f.cursor.PeerReplied(began, now, update.Revision, update.Age, update.LastOutage)
+	before := f.cursor.Position()
+	older := update.Position.Before(before)
+	f.cursor.PeerReplied(began, now, update.Position, update.Age, update.LastOutage)
 	var changed []Item
 	if !older {
 		changed = f.merge(update.Items, update.Full)
@@ -224,13 +243,30 @@
 	regained := f.cursor.Reachable() && f.noteRegained(now)
 	f.mu.Unlock()
 	if regained {
-		f.log.Info("store regained", "revision", update.Revision, "through", "reader")
+		f.log.Info("store regained", "position", update.Position, "through", "reader")
 	}
+	f.logNewEra(before, update.Position, "host")
 	if !older {
 		f.sink.Apply(now, changed, update.Full, update.LastOutage)
 	}
 }
 
+// peerBehind ignores an update of another host whose items are of an earlier era.
+func (f *Feed) peerBehind(began, now time.Time, known, update Position) {
+	f.stats.Add("updates-of-earlier-era", 1)
+	f.log.Debug("update of another host is of an earlier era", "known", known, "update", update)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cursor.PeerBehind(began, now)
+}
+
+// logNewEra logs that the items of a new era have been read.
+func (f *Feed) logNewEra(before, now Position, through string) {
+	if before.Era() < now.Era() && before != (Position{}) {
+		f.log.Info("store era read", "known", before, "position", now, "through", through)
+	}
+}
+
 func (f *Feed) storeFailed(ctx context.Context, call string, began time.Time, err error) {
 	if ctx.Err() != nil {
 		return
@@ -252,18 +288,26 @@
 }
 
 // storeReplied takes over an answer of the store: all items if full is set, or the
-// changes, up to a revision.
-func (f *Feed) storeReplied(began time.Time, items []Item, revision int64, full bool) {
+// changes, up to a position. An answer of an earlier era than the known one counts as failed.
+func (f *Feed) storeReplied(ctx context.Context, began time.Time, items []Item, position Position, full bool) {
 	now := time.Now()
 	f.mu.Lock()
-	f.cursor.StoreReplied(began, now, revision)
+	before := f.cursor.Position()
+	if position.Era() < before.Era() {
+		f.mu.Unlock()
+		f.stats.Add("store-answers-of-earlier-era", 1)
+		f.storeFailed(ctx, "era", began, errors.Errorf("answer at position %s, known is %s", position, before))
+		return
+	}
+	f.cursor.StoreReplied(began, now, position)
 	changed := f.merge(items, full)
 	lastOutage := f.cursor.LastOutage()
 	regained := f.noteRegained(now)
 	f.mu.Unlock()
 	if regained {
-		f.log.Info("store regained", "revision", revision)
+		f.log.Info("store regained", "position", position)
 	}
+	f.logNewEra(before, position, "store")
 	f.sink.Apply(now, changed, full, lastOutage)
 }
 
@@ -279,15 +323,15 @@
 }
 
 // merge stores the items and returns those that have changed, in the order of their
-// revisions. The mutex must be held since the cursor's revision was advanced: an update
-// for another host must contain all changes up to the revision that it states.
+// revisions. The mutex must be held since the cursor was advanced: an update for another host
+// must contain all changes up to the position that it states.
 func (f *Feed) merge(items []Item, full bool) []Item {
 	sort.SliceStable(items, func(i, j int) bool { return items[i].Revision < items[j].Revision })
 	var changed []Item
 	if full {
 		changed = f.deleteMissing(items)
 		// Items that were created and deleted before the list have no tombstone.
-		f.oldestRevision = max(f.oldestRevision, f.cursor.Revision())
+		f.oldestRevision = max(f.oldestRevision, f.cursor.Position().Revision())
 	}
 	for _, i := range items {
 		if known := f.items[i.Key].Revision; i.Revision <= known {
@@ -321,7 +365,7 @@
 	var deleted []Item
 	for key, i := range f.items {
 		if !present[key] {
-			tombstone := Item{Key: key, Revision: max(i.Revision, f.cursor.Revision()), Deleted: true}
+			tombstone := Item{Key: key, Revision: max(i.Revision, f.cursor.Position().Revision()), Deleted: true}
 			deleted = append(deleted, tombstone)
 			delete(f.items, key)
 			f.addTombstone(tombstone)
@@ -338,29 +382,35 @@
 	}
 }
 
-// UpdateSince returns an update for another host with the changes after a revision, or
-// with all items if full is set or the changes are not all known. It reports false if no
-// list of the items has been read.
-func (f *Feed) UpdateSince(now time.Time, after int64, full bool) (Update, bool) {
+// UpdateSince returns an update for another host with the changes after a position, or
+// with all items if they are requested or the changes are not all known. A host that is ahead
+// of this one gets no items. It reports false if no list of the items has been read.
+func (f *Feed) UpdateSince(now time.Time, r Request) (Update, bool) {
+	f.noteEra(r.NewestEra, "host")
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.cursor.Listed() {
 		return Update{}, false
 	}
-	if after > f.cursor.Revision() {
-		f.stats.Add("updates-for-hosts-ahead", 1)
+	position, after := f.cursor.Position(), r.After
+	if r.AnyEra {
+		after = At(position.Era(), after.Revision())
 	}
 	update := Update{
-		Revision: f.cursor.Revision(), Full: full || after < f.oldestRevision,
+		Position: position, Full: r.Full || after.Before(At(position.Era(), f.oldestRevision)),
 		Age: now.Sub(f.cursor.LastReply()), LastOutage: f.cursor.ReaderOutage(),
 	}
+	if !update.Full && position.Before(after) {
+		f.stats.Add("updates-for-hosts-ahead", 1)
+		return update, true
+	}
 	for _, i := range f.items {
-		if update.Full || i.fingerprintRevision > after {
+		if update.Full || i.fingerprintRevision > after.Revision() {
 			update.Items = append(update.Items, i)
 		}
 	}
 	for _, i := range f.tombstones {
-		if _, exists := f.items[i.Key]; !update.Full && i.Revision > after && !exists {
+		if _, exists := f.items[i.Key]; !update.Full && i.Revision > after.Revision() && !exists {
 			update.Items = append(update.Items, i)
 		}
 	}
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,14 +20,40 @@
 
 // store is a Source with content that the test changes, and faults that it injects.
 type store struct {
-	mu        sync.Mutex
-	items     map[string]feed.Item
-	history   []feed.Item
-	revision  int64
-	down      bool
-	compacted bool
-	calls     int
-	listDelay time.Duration
+	mu sync.Mutex
+	content
+	// era is the era that the store states, and seenEra the one of its last answer.
+	era, seenEra int64
+	// targets is the number of targets, and beats numbers their heartbeats.
+	targets, beats int
+	down           bool
+	compacted      bool
+	calls          int
+	lists          int
+	listDelay      time.Duration
+}
+
+// content is all that a store loses when it comes back from a copy of it.
+type content struct {
+	items    map[string]feed.Item
+	history  []feed.Item
+	revision int64
+}
+
+// copyContent returns a copy of what the store holds.
+func (s *store) copyContent() content {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return content{items: maps.Clone(s.items), history: slices.Clone(s.history), revision: s.revision}
+}
+
+// returnFrom makes the store come back from a copy, in a new era.
+func (s *store) returnFrom(c content) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.content = content{items: maps.Clone(c.items), history: slices.Clone(c.history), revision: c.revision}
+	s.era++
+	s.down = false
 }
 
 func (s *store) write(key, value string) { s.writeWithFingerprint(key, value, "") }
@@ -49,6 +77,12 @@
 	s.down, s.compacted = down, compacted
 }
 
+func (s *store) setEra(era int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
 var errDown = errors.New("store is down")
 
 func (s *store) setListDelay(d time.Duration) {
@@ -57,7 +91,7 @@
 	s.listDelay = d
 }
 
-func (s *store) List(context.Context) ([]feed.Item, int64, error) {
+func (s *store) List(context.Context) ([]feed.Item, feed.Position, error) {
 	s.mu.Lock()
 	delay := s.listDelay
 	s.mu.Unlock()
@@ -65,36 +99,44 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+	s.lists++
 	if s.down {
-		return nil, 0, errDown
+		return nil, feed.Position{}, errDown
 	}
+	s.seenEra = s.era
 	var all []feed.Item
 	for _, i := range s.items {
 		all = append(all, i)
 	}
 	s.compacted = false
-	return all, s.revision, nil
+	return all, feed.At(s.era, s.revision), nil
 }
 
-func (s *store) Era() int64 { return 0 }
+func (s *store) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seenEra
+}
 
-func (s *store) Watch(_ context.Context, after int64, _ time.Duration) ([]feed.Item, int64, error) {
+func (s *store) Watch(_ context.Context, after int64, _ time.Duration) ([]feed.Item, feed.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	switch {
 	case s.down:
-		return nil, 0, errDown
-	case s.compacted:
-		return nil, 0, feed.ErrCompacted
+		return nil, feed.Position{}, errDown
+	case s.compacted || after > s.revision:
+		s.seenEra = s.era
+		return nil, feed.Position{}, feed.ErrCompacted
 	}
+	s.seenEra = s.era
 	var changed []feed.Item
 	for _, i := range s.history {
 		if i.Revision > after {
 			changed = append(changed, i)
 		}
 	}
-	return changed, s.revision, nil
+	return changed, feed.At(s.era, s.revision), nil
 }
 
 // sink stores the values of the items that were applied.
@@ -131,8 +173,8 @@
 
 func (p *peer) HasReader() bool { return p.reader }
 func (p *peer) HasLive() bool   { return p.feed != nil }
-func (p *peer) FetchUpdate(_ context.Context, after int64, full bool) (feed.Update, error) {
-	update, ok := p.feed.UpdateSince(time.Now(), after, full)
+func (p *peer) FetchUpdate(_ context.Context, r feed.Request) (feed.Update, error) {
+	update, ok := p.feed.UpdateSince(time.Now(), r)
 	if !ok {
 		return feed.Update{}, errors.New("no list has been read")
 	}
@@ -146,9 +188,9 @@
 
 func (r *replaceableReader) HasReader() bool { return true }
 func (r *replaceableReader) HasLive() bool   { return true }
-func (r *replaceableReader) FetchUpdate(ctx context.Context, after int64, full bool) (feed.Update, error) {
+func (r *replaceableReader) FetchUpdate(ctx context.Context, request feed.Request) (feed.Update, error) {
 	p := peer{feed: r.Load()}
-	return p.FetchUpdate(ctx, after, full)
+	return p.FetchUpdate(ctx, request)
 }
 
 type follower struct {
@@ -156,9 +198,14 @@
 	sink sink
 }
 
-func follow(ctx context.Context, source feed.Source, p feed.Peers) *follower {
+func newFollower(source feed.Source, p feed.Peers) *follower {
 	f := &follower{sink: sink{values: map[string]string{}}}
 	f.Reset(source, p, &f.sink, slog.New(slog.DiscardHandler), &stats.Registry{})
+	return f
+}
+
+func follow(ctx context.Context, source feed.Source, p feed.Peers) *follower {
+	f := newFollower(source, p)
 	go f.Run(ctx)
 	return f
 }
@@ -167,7 +214,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		s := &store{items: map[string]feed.Item{}}
+		s := &store{content: content{items: map[string]feed.Item{}}}
 		s.write("a", "1")
 		f := follow(ctx, s, &peer{})
 		time.Sleep(10 * time.Millisecond)
@@ -199,11 +246,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		s := &store{items: map[string]feed.Item{}}
+		s := &store{content: content{items: map[string]feed.Item{}}}
 		s.write("a", "1")
 		other := follow(ctx, s, &peer{})
 		time.Sleep(10 * time.Millisecond)
-		unreachable := &store{items: map[string]feed.Item{}, down: true}
+		unreachable := &store{content: content{items: map[string]feed.Item{}}, down: true}
 		f := follow(ctx, unreachable, &peer{feed: &other.Feed})
 		time.Sleep(200 * time.Millisecond)
 		assert.Equal(t, "1", f.sink.get("a"))
@@ -222,10 +269,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		s := &store{items: map[string]feed.Item{}}
+		s := &store{content: content{items: map[string]feed.Item{}}}
 		reader := follow(ctx, s, &peer{})
 		time.Sleep(10 * time.Millisecond)
-		ownStore := &store{items: map[string]feed.Item{}}
+		ownStore := &store{content: content{items: map[string]feed.Item{}}}
 		f := follow(ctx, ownStore, &peer{feed: &reader.Feed, reader: true})
 		for n := range 30 {
 			s.write("a", time.Duration(n).String())
@@ -242,11 +289,11 @@
 	store
 }
 
-func (s *waitingStore) Watch(ctx context.Context, after int64, wait time.Duration) ([]feed.Item, int64, error) {
+func (s *waitingStore) Watch(ctx context.Context, after int64, wait time.Duration) ([]feed.Item, feed.Position, error) {
 	for deadline := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
-		changed, revision, err := s.store.Watch(ctx, after, wait)
+		changed, position, err := s.store.Watch(ctx, after, wait)
 		if len(changed) > 0 || err != nil || ctx.Err() != nil || !time.Now().Before(deadline) {
-			return changed, revision, err
+			return changed, position, err
 		}
 	}
 }
@@ -259,10 +306,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		s := &waitingStore{store{items: map[string]feed.Item{}}}
+		s := &waitingStore{store{content: content{items: map[string]feed.Item{}}}}
 		reader := follow(ctx, s, &peer{})
 		time.Sleep(480 * time.Millisecond)
-		ownStore := &store{items: map[string]feed.Item{}}
+		ownStore := &store{content: content{items: map[string]feed.Item{}}}
 		follow(ctx, ownStore, &peer{feed: &reader.Feed, reader: true})
 		for n := range 60 {
 			s.write("a", time.Duration(n).String())
@@ -280,7 +327,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		s := &waitingStore{store{items: map[string]feed.Item{}}}
+		s := &waitingStore{store{content: content{items: map[string]feed.Item{}}}}
 		s.setFaults(true, false)
 		reader := follow(ctx, s, &peer{})
 		f := follow(ctx, s, &peer{feed: &reader.Feed, reader: true})
@@ -304,12 +351,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		s := &store{items: map[string]feed.Item{}}
+		s := &store{content: content{items: map[string]feed.Item{}}}
 		s.write("a", "1")
 		s.write("b", "1")
 		reader := follow(ctx, s, &peer{})
 		time.Sleep(300 * time.Millisecond)
-		ownStore := &store{items: map[string]feed.Item{}}
+		ownStore := &store{content: content{items: map[string]feed.Item{}}}
 		f := follow(ctx, ownStore, &peer{feed: &reader.Feed, reader: true})
 		time.Sleep(2 * time.Second)
 		s.setFaults(false, true)
@@ -327,7 +374,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		s := &store{items: map[string]feed.Item{}}
+		s := &store{content: content{items: map[string]feed.Item{}}}
 		s.writeWithFingerprint("a", "beat 1", "ready")
 		s.writeWithFingerprint("b", "beat 1", "ready")
 		f := follow(ctx, s, &peer{})
@@ -335,12 +382,12 @@
 		s.writeWithFingerprint("a", "beat 2", "ready")
 		s.writeWithFingerprint("b", "beat 2", "leaving")
 		time.Sleep(1100 * time.Millisecond)
-		update, ok := f.UpdateSince(time.Now(), 2, false)
+		update, ok := f.UpdateSince(time.Now(), feed.Request{After: feed.At(0, 2)})
 		assert.True(t, ok)
-		assert.Equal(t, int64(4), update.Revision)
+		assert.Equal(t, feed.At(0, 4), update.Position)
 		assert.Len(t, update.Items, 1)
 		assert.Equal(t, "b", update.Items[0].Key)
-		full, _ := f.UpdateSince(time.Now(), 0, true)
+		full, _ := f.UpdateSince(time.Now(), feed.Request{Full: true})
 		assert.Len(t, full.Items, 2)
 	})
 }
@@ -352,7 +399,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		s := &store{items: map[string]feed.Item{}}
+		s := &store{content: content{items: map[string]feed.Item{}}}
 		s.write("a", "1")
 		s.write("b", "1")
 		before := follow(ctx, s, &peer{})
@@ -382,14 +429,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		s := &store{items: map[string]feed.Item{}}
+		s := &store{content: content{items: map[string]feed.Item{}}}
 		s.write("a", "1")
 		s.write("b", "1")
 		reading := follow(ctx, s, &peer{})
 		time.Sleep(10 * time.Millisecond)
-		refused := follow(ctx, &store{items: map[string]feed.Item{}, down: true}, &peer{feed: &reading.Feed})
+		refused := follow(ctx, &store{content: content{items: map[string]feed.Item{}}, down: true}, &peer{feed: &reading.Feed})
 		time.Sleep(3 * time.Second)
-		f := follow(ctx, &store{items: map[string]feed.Item{}, down: true}, &peer{feed: &refused.Feed, reader: true})
+		f := follow(ctx, &store{content: content{items: map[string]feed.Item{}}, down: true}, &peer{feed: &refused.Feed, reader: true})
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, "1", f.sink.get("b"))
 
@@ -410,7 +457,7 @@
 
 func (h *updateOnRegain) Handle(_ context.Context, r slog.Record) error {
 	if r.Message == "store regained" {
-		update, _ := h.feed.UpdateSince(time.Now(), 1, false)
+		update, _ := h.feed.UpdateSince(time.Now(), feed.Request{After: feed.At(0, 1)})
 		h.updates = append(h.updates, update)
 	}
 	return nil
@@ -425,7 +472,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		s := &store{items: map[string]feed.Item{}}
+		s := &store{content: content{items: map[string]feed.Item{}}}
 		s.write("server", "ready")
 		f := &follower{sink: sink{values: map[string]string{}}}
 		h := &updateOnRegain{Handler: slog.DiscardHandler, feed: &f.Feed}
@@ -440,7 +487,7 @@
 		synctest.Wait()
 		assert.Len(t, h.updates, 1)
 		for _, update := range h.updates {
-			assert.Equal(t, int64(2), update.Revision)
+			assert.Equal(t, feed.At(0, 2), update.Position)
 			assert.Len(t, update.Items, 1, "the deletion at revision 2")
 		}
 	})
@@ -453,7 +500,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		s := &store{items: map[string]feed.Item{}}
+		s := &store{content: content{items: map[string]feed.Item{}}}
 		s.write("server", "ready")
 		s.write("manifest", "1")
 		other := follow(ctx, s, &peer{})
--- a/internal/fleet/feed/state.go
+++ b/internal/fleet/feed/state.go
@@ -4,9 +4,9 @@
 
 // State describes how current the known items of the store are.
 type State struct {
-	// Revision is the revision up to which changes are known, and Age the time since
+	// Position is the position up to which changes are known, and Age the time since
 	// the store last answered this host or a host from which it got an update.
-	Revision int64
+	Position Position
 	Age      time.Duration
 	// Reachable reports whether the store answers, and ChangedAt is when it was last
 	// lost or regained; zero if it never was.
@@ -19,6 +19,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return State{
-		Revision: f.cursor.Revision(), Age: now.Sub(f.cursor.LastReply()), Reachable: f.cursor.Reachable(), ChangedAt: f.changedAt,
+		Position: f.cursor.Position(), Age: now.Sub(f.cursor.LastReply()), Reachable: f.cursor.Reachable(), ChangedAt: f.changedAt,
 	}
 }
--- a/internal/fleet/peers/load_test.go
+++ b/internal/fleet/peers/load_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"fescuerill/internal/fleet/feed"
 )
 
 // TestHostsKnowLoadOfTheirDataCentre has all hosts report their loads to their designated
@@ -17,7 +19,7 @@
 	fetchUpdates := func() {
 		for _, m := range all {
 			if m.HasReader() {
-				_, err := m.FetchUpdate(t.Context(), 0, false)
+				_, err := m.FetchUpdate(t.Context(), feed.Request{})
 				assert.NoError(t, err)
 			}
 		}
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -61,8 +61,11 @@
 	members     host.Membership
 	dataCentres map[string]string
 	cores       map[string]float64
-	loads       loads
-	outages     OutageDetector
+	// withoutEra holds, by address, until when a host is not followed as reader since it knows
+	// of no eras of the store.
+	withoutEra map[string]time.Time
+	loads      loads
+	outages    OutageDetector
 	// recovering holds the data centres whose silent hosts are being probed.
 	recovering map[string]bool
 	// discoveryProbes is the number of hosts that were probed when they were discovered
@@ -82,7 +85,7 @@
 func Start(ctx context.Context, self Self, conn net.PacketConn, random *rand.Rand, log *slog.Logger, registry *stats.Registry, meter *traffic.Meter) *Peers {
 	p := &Peers{
 		ctx: ctx, self: self, conn: conn, log: log, stats: registry, meter: meter,
-		dataCentres: map[string]string{}, cores: map[string]float64{}, diedAt: map[string]time.Time{}, pending: map[int]probe{}, recovering: map[string]bool{},
+		dataCentres: map[string]string{}, cores: map[string]float64{}, diedAt: map[string]time.Time{}, pending: map[int]probe{}, recovering: map[string]bool{}, withoutEra: map[string]time.Time{},
 		startedAt: time.Now(), probesDue: make(chan struct{}, 1),
 	}
 	p.members.Reset(time.Now(), self.Address, self.Incarnation, random)
@@ -152,6 +155,7 @@
 		for _, dead := range p.members.RemoveDead(now, removeDeadAfter, nil) {
 			delete(p.dataCentres, dead)
 			delete(p.cores, dead)
+			delete(p.withoutEra, dead)
 			p.outages.RemoveHost(dead)
 		}
 		wait := p.members.NextTick().Sub(now)
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -55,19 +55,20 @@
 	items []feed.Item
 }
 
-func (u *updates) UpdateSince(_ time.Time, after int64, full bool) (feed.Update, bool) {
-	if u.items != nil && after > int64(len(u.items)) {
-		return feed.Update{Revision: int64(len(u.items))}, true
+func (u *updates) UpdateSince(_ time.Time, r feed.Request) (feed.Update, bool) {
+	after, full := r.After.Revision(), r.Full
+	if last := feed.At(0, int64(len(u.items))); u.items != nil && last.Before(r.After) {
+		return feed.Update{Position: last}, true
 	}
 	if u.items != nil {
-		return feed.Update{Revision: int64(len(u.items)), Full: full, Items: u.items}, true
+		return feed.Update{Position: feed.At(0, int64(len(u.items))), Full: full, Items: u.items}, true
 	}
 	if at := u.revision.Load(); at > 0 {
-		return feed.Update{Revision: at, Full: full}, true
+		return feed.Update{Position: feed.At(0, at), Full: full}, true
 	}
 	return feed.Update{
 		Items:    []feed.Item{{Key: "k", Value: []byte{0, 255}, Revision: after + 1}, {Key: "g", Revision: after + 2, Deleted: true}},
-		Revision: after + 2, Full: full, Age: time.Second, LastOutage: time.Now().Add(-time.Minute),
+		Position: feed.At(0, after+2), Full: full, Age: time.Second, LastOutage: time.Now().Add(-time.Minute),
 	}, true
 }
 
@@ -191,7 +192,7 @@
 		require.Eventually(t, func() bool {
 			var err error
 			received[dataCentre] = bytesOfUpdates(m)
-			got, err = m.FetchUpdate(t.Context(), 0, true)
+			got, err = m.FetchUpdate(t.Context(), feed.Request{Full: true})
 			return err == nil
 		}, 5*time.Second, time.Millisecond)
 		assert.Equal(t, items, got.Items)
@@ -219,13 +220,13 @@
 		want       int
 	}{
 		"none":                             {nil, -1},
-		"no reply":                         {[]peers.UpdateCandidate{{Revision: 9}}, -1},
-		"latest":                           {[]peers.UpdateCandidate{{Replied: true, Revision: 4}, {Replied: true, Revision: 5}}, 1},
-		"current in the same data centre":  {[]peers.UpdateCandidate{{Replied: true, Revision: 9, Age: current}, {Replied: true, Revision: 5, Age: current, Local: true}}, 1},
-		"cut off in the same data centre":  {[]peers.UpdateCandidate{{Replied: true, Revision: 9, Age: current}, {Replied: true, Revision: 5, Age: old, Local: true}}, 0},
-		"two current in the same":          {[]peers.UpdateCandidate{{Replied: true, Revision: 5, Age: current, Local: true}, {Replied: true, Revision: 6, Age: current, Local: true}}, 1},
-		"all old, as in an outage for all": {[]peers.UpdateCandidate{{Replied: true, Revision: 5, Age: old, Local: true}, {Replied: true, Revision: 6, Age: old}}, 1},
-		"silent one in the same":           {[]peers.UpdateCandidate{{Local: true}, {Replied: true, Revision: 6, Age: old}}, 1},
+		"no reply":                         {[]peers.UpdateCandidate{{Position: feed.At(0, 9)}}, -1},
+		"latest":                           {[]peers.UpdateCandidate{{Replied: true, Position: feed.At(0, 4)}, {Replied: true, Position: feed.At(0, 5)}}, 1},
+		"current in the same data centre":  {[]peers.UpdateCandidate{{Replied: true, Position: feed.At(0, 9), Age: current}, {Replied: true, Position: feed.At(0, 5), Age: current, Local: true}}, 1},
+		"cut off in the same data centre":  {[]peers.UpdateCandidate{{Replied: true, Position: feed.At(0, 9), Age: current}, {Replied: true, Position: feed.At(0, 5), Age: old, Local: true}}, 0},
+		"two current in the same":          {[]peers.UpdateCandidate{{Replied: true, Position: feed.At(0, 5), Age: current, Local: true}, {Replied: true, Position: feed.At(0, 6), Age: current, Local: true}}, 1},
+		"all old, as in an outage for all": {[]peers.UpdateCandidate{{Replied: true, Position: feed.At(0, 5), Age: old, Local: true}, {Replied: true, Position: feed.At(0, 6), Age: old}}, 1},
+		"silent one in the same":           {[]peers.UpdateCandidate{{Local: true}, {Replied: true, Position: feed.At(0, 6), Age: old}}, 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) { assert.Equal(t, test.want, peers.ChooseUpdateSource(test.candidates)) })
@@ -253,16 +254,16 @@
 
 func TestFetchesUpdateFromOtherHost(t *testing.T) {
 	all := startFleet(t, 3)
-	got, err := all[0].FetchUpdate(t.Context(), 41, true)
+	got, err := all[0].FetchUpdate(t.Context(), feed.Request{After: feed.At(0, 41), Full: true})
 	require.NoError(t, err)
-	assert.Equal(t, int64(43), got.Revision)
+	assert.Equal(t, int64(43), got.Position.Revision())
 	assert.True(t, got.Full)
 	assert.Equal(t, time.Second, got.Age)
 	assert.InDelta(t, 60, time.Since(got.LastOutage).Seconds(), 2)
 	assert.Equal(t, []feed.Item{{Key: "k", Value: []byte{0, 255}, Revision: 42}, {Key: "g", Revision: 43, Deleted: true}}, got.Items)
 
 	single := join(t, 9, "z")
-	_, err = single.FetchUpdate(t.Context(), 0, true)
+	_, err = single.FetchUpdate(t.Context(), feed.Request{Full: true})
 	assert.Error(t, err)
 	assert.False(t, single.HasLive())
 }
@@ -276,9 +277,9 @@
 		all[i].source.revision.Store(revision)
 	}
 	for range 10 {
-		got, err := all[0].FetchUpdate(t.Context(), 0, true)
+		got, err := all[0].FetchUpdate(t.Context(), feed.Request{Full: true})
 		require.NoError(t, err)
-		assert.Equal(t, int64(41), got.Revision)
+		assert.Equal(t, int64(41), got.Position.Revision())
 	}
 	all[2].stop()
 	require.Eventually(t, func() bool {
@@ -288,9 +289,9 @@
 		}
 		return err != nil
 	}, 5*time.Second, time.Millisecond, "the host has stopped")
-	got, err := all[0].FetchUpdate(t.Context(), 0, true)
+	got, err := all[0].FetchUpdate(t.Context(), feed.Request{Full: true})
 	require.NoError(t, err)
-	assert.Equal(t, int64(40), got.Revision, "a host that does not reply is left out")
+	assert.Equal(t, int64(40), got.Position.Revision(), "a host that does not reply is left out")
 }
 
 func TestAssumesFleetSizeUntilKnown(t *testing.T) {
@@ -316,7 +317,7 @@
 	assert.False(t, m.HasLive(), "no host is added by such messages")
 	other := join(t, 2, "a", m.address)
 	assert.Eventually(t, func() bool { return other.state(m.address) == host.Alive }, 2*time.Second, 10*time.Millisecond)
-	if _, err := other.FetchUpdate(t.Context(), 0, false); err != nil {
+	if _, err := other.FetchUpdate(t.Context(), feed.Request{}); err != nil {
 		t.Fatal(errors.Wrap(err, "update after invalid messages"))
 	}
 }
--- a/internal/fleet/peers/updates.go
+++ b/internal/fleet/peers/updates.go
@@ -29,7 +29,7 @@
 const minReaderHosts = 4
 
 const (
-	// currentPeers is the number of hosts that are asked for their revision before a full
+	// currentPeers is the number of hosts that are asked for their position before a full
 	// update is requested from one of them.
 	currentPeers = 3
 	// currentLocalPeers is the number of those in the data centre of this host.
@@ -38,18 +38,22 @@
 	currentTimeout = 200 * time.Millisecond
 )
 
-// futureRevision is a revision that the store does not reach. An update with the changes
+// futurePosition is a position that the store does not reach. An update with the changes
 // after it has no items.
-const futureRevision = math.MaxInt64 / 2
+var futurePosition = feed.At(math.MaxInt64/2, math.MaxInt64/2)
+
+// withoutEraFor is how long a host that knows of no eras of the store, since it runs an earlier
+// version, is not followed as reader. It may have been updated after that.
+const withoutEraFor = 30 * time.Second
 
 // errNoPeer is returned when there is no other host to request an update from.
 var errNoPeer = errors.New("no other host is alive")
 
 // UpdateSource provides the updates that this host sends to other hosts.
 type UpdateSource interface {
-	// UpdateSince returns the changes of the store after a revision, or all items if
-	// full is set. It reports false if the host has not read the store.
-	UpdateSince(now time.Time, after int64, full bool) (feed.Update, bool)
+	// UpdateSince returns the changes of the store after a position, or all items if they
+	// are requested. It reports false if the host has not read the store.
+	UpdateSince(now time.Time, r feed.Request) (feed.Update, bool)
 }
 
 // Serve answers update requests of other hosts on the listener until ctx ends.
@@ -92,7 +96,7 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
 	now := time.Now()
-	update, ok := p.updates.UpdateSince(now, int64(request.Revision), request.Whole)
+	update, ok := p.updates.UpdateSince(now, decodeUpdateRequest(request))
 	if !ok {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "nothing known"}
 	}
@@ -106,8 +110,24 @@
 	return reply, nil
 }
 
+func decodeUpdateRequest(m fleet.UpdateRequest) feed.Request {
+	r := feed.Request{Full: m.Whole, AnyEra: m.Era == nil}
+	era := 0
+	if m.Era != nil {
+		era = *m.Era
+	}
+	r.After = feed.At(int64(era), int64(m.Revision))
+	if m.NewestEra != nil {
+		r.NewestEra = int64(*m.NewestEra)
+	}
+	return r
+}
+
 func encodeUpdate(now time.Time, update feed.Update) fleet.UpdateReply {
-	out := fleet.UpdateReply{Revision: int(update.Revision), Whole: update.Full, AgeMs: int(update.Age.Milliseconds()), Items: []fleet.StoreItem{}}
+	era := int(update.Position.Era())
+	out := fleet.UpdateReply{
+		Revision: int(update.Position.Revision()), Era: &era, Whole: update.Full, AgeMs: int(update.Age.Milliseconds()), Items: []fleet.StoreItem{},
+	}
 	if !update.LastOutage.IsZero() {
 		ms := int(now.Sub(update.LastOutage).Milliseconds())
 		out.TroubleMs = &ms
@@ -129,7 +149,7 @@
 	if err := unpackItems(&m); err != nil {
 		return feed.Update{}, err
 	}
-	update := feed.Update{Revision: int64(m.Revision), Full: m.Whole, Age: milliseconds(m.AgeMs)}
+	update := feed.Update{Position: position(m), Full: m.Whole, Age: milliseconds(m.AgeMs)}
 	if m.TroubleMs != nil {
 		update.LastOutage = now.Add(-milliseconds(*m.TroubleMs))
 	}
@@ -147,6 +167,16 @@
 	return update, nil
 }
 
+// position returns the position up to which a host knows all changes. The era of a host that
+// knows of none is 0, so that its items replace none of a known era.
+func position(m fleet.UpdateReply) feed.Position {
+	era := 0
+	if m.Era != nil {
+		era = *m.Era
+	}
+	return feed.At(int64(era), int64(m.Revision))
+}
+
 // HasLive implements feed.Peers.
 func (p *Peers) HasLive() bool {
 	_, ok := p.randomPeer()
@@ -162,7 +192,8 @@
 // reader returns the address of the designated reader, which reads the store on behalf of
 // this host, and whether that is another host. A data centre with at least minReaderHosts
 // live hosts has a reader of its own, the others share one. It is one of the hosts with the
-// most cores, as it sends each change to all others.
+// most cores, as it sends each change to all others. A host that knows of no eras of the store
+// is left out by those that do, as its revisions may be of a lost era.
 func (p *Peers) reader() (string, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -180,8 +211,9 @@
 	}
 	ownGroup := group(p.self.DataCentre)
 	best, cores := p.self.Address, p.self.Cores
+	now := time.Now()
 	p.members.Each(func(u host.Update) {
-		if p.state(u) != host.Alive || group(p.dataCentres[u.ID]) != ownGroup {
+		if p.state(u) != host.Alive || group(p.dataCentres[u.ID]) != ownGroup || now.Before(p.withoutEra[u.ID]) {
 			return
 		}
 		c := p.cores[u.ID]
@@ -218,11 +250,11 @@
 
 // FetchUpdate implements feed.Peers. A full update is requested from the most current of a
 // few random hosts: some may be cut off from the store themselves.
-func (p *Peers) FetchUpdate(ctx context.Context, after int64, full bool) (feed.Update, error) {
+func (p *Peers) FetchUpdate(ctx context.Context, r feed.Request) (feed.Update, error) {
 	address, fromReader := p.reader()
 	ok := fromReader
 	switch {
-	case full:
+	case r.Full:
 		fromReader = false
 		address, ok = p.mostCurrentPeer(ctx)
 	case !ok:
@@ -231,19 +263,32 @@
 	if !ok {
 		return feed.Update{}, errNoPeer
 	}
-	reply, err := p.requestUpdate(ctx, address, after, full)
+	reply, err := p.requestUpdate(ctx, address, r)
 	if err != nil {
 		return feed.Update{}, err
 	}
 	now := time.Now()
 	if fromReader {
 		p.setTotalLoad(now, reply.PartsPerSecond)
+		p.noteReaderEra(now, address, r, reply)
 	}
 	return decodeUpdate(now, reply)
 }
 
+// noteReaderEra stops following a reader that knows of no eras of the store, if this host does.
+func (p *Peers) noteReaderEra(now time.Time, address string, r feed.Request, reply fleet.UpdateReply) {
+	if reply.Era != nil || r.After.Era() == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.withoutEra[address] = now.Add(withoutEraFor)
+	p.stats.Add("readers-without-era", 1)
+	p.log.Info("reader knows of no store eras", "host", address, "known", r.After)
+}
+
 // requestUpdate requests an update from the host at an address.
-func (p *Peers) requestUpdate(ctx context.Context, address string, after int64, full bool) (fleet.UpdateReply, error) {
+func (p *Peers) requestUpdate(ctx context.Context, address string, r feed.Request) (fleet.UpdateReply, error) {
 	var reply fleet.UpdateReply
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp", address)
@@ -255,9 +300,9 @@
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no methods here"}
 		}))
 	defer func() { _ = client.Close() }()
-	readsPacked := true
+	readsPacked, era, newestEra := true, int(r.After.Era()), int(r.NewestEra)
 	request := fleet.UpdateRequest{
-		Revision: int(after), Whole: full, Packed: &readsPacked, From: p.self.Address, DataCentre: p.self.DataCentre, PartsPerSecond: p.ownLoad(),
+		Revision: int(r.After.Revision()), Era: &era, NewestEra: &newestEra, Whole: r.Full, Packed: &readsPacked, From: p.self.Address, DataCentre: p.self.DataCentre, PartsPerSecond: p.ownLoad(),
 	}
 	if err := client.Call(ctx, updateMethod, request, &reply); err != nil {
 		return reply, errors.Wrap(err, "fetch store update from host "+address)
@@ -265,7 +310,7 @@
 	return reply, nil
 }
 
-// mostCurrentPeer returns the address of the host with the latest revision among up to
+// mostCurrentPeer returns the address of the host with the latest position among up to
 // currentPeers random hosts that reply within currentTimeout, and whether one has replied.
 func (p *Peers) mostCurrentPeer(ctx context.Context) (string, bool) {
 	addresses := p.updateCandidates()
@@ -275,9 +320,9 @@
 	var requests sync.WaitGroup
 	for i, address := range addresses {
 		requests.Go(func() {
-			reply, err := p.requestUpdate(ctx, address, futureRevision, false)
+			reply, err := p.requestUpdate(ctx, address, feed.Request{After: futurePosition})
 			candidates[i] = UpdateCandidate{
-				Replied: err == nil, Revision: int64(reply.Revision), Age: milliseconds(reply.AgeMs),
+				Replied: err == nil, Position: position(reply), Age: milliseconds(reply.AgeMs),
 				Local: p.scope(address) == traffic.Local,
 			}
 		})
--- a/internal/schema/fleet/fleet.gen.go
+++ b/internal/schema/fleet/fleet.gen.go
@@ -110,6 +110,10 @@
 	// Time in milliseconds since the store last answered the replying host.
 	AgeMs int `json:"age-ms"`
 
+	// Era of the store in which the revisions count; absent in replies of hosts that
+	// know of no eras.
+	Era *int `json:"era,omitempty,omitzero"`
+
 	// Items in order of their revisions; empty if they are in packed-items.
 	Items []StoreItem `json:"items"`
 
@@ -137,9 +141,16 @@
 	// Data centre of the requesting host.
 	DataCentre string `json:"data-centre"`
 
+	// Era of the store in which that revision counts; absent in requests of hosts
+	// that know of no eras.
+	Era *int `json:"era,omitempty,omitzero"`
+
 	// Peer address of the requesting host.
 	From string `json:"from"`
 
+	// Latest era of the store of which the requesting host knows.
+	NewestEra *int `json:"newest-era,omitempty,omitzero"`
+
 	// Whether the requesting host can read packed items.
 	Packed *bool `json:"packed,omitempty,omitzero"`
 
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -298,7 +298,8 @@
 				live++
 			}
 		})
-		s.stats.SetGauge("store-revision", int(store.Revision))
+		s.stats.SetGauge("store-era", int(store.Position.Era()))
+		s.stats.SetGauge("store-revision", int(store.Position.Revision()))
 		s.stats.SetGauge("store-age-ms", int(store.Age.Milliseconds()))
 		s.stats.SetGauge("store-reached", boolToInt(store.Reachable))
 		if !store.ChangedAt.IsZero() {
