--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"sort"
@@ -238,7 +239,7 @@
 	f.cursor.PeerReplied(began, now, update.Position, update.Age, update.LastOutage)
 	var changed []Item
 	if !older {
-		changed = f.merge(update.Items, update.Full)
+		changed = f.merge(update.Items, before, update.Full)
 	}
 	regained := f.cursor.Reachable() && f.noteRegained(now)
 	f.mu.Unlock()
@@ -300,7 +301,7 @@
 		return
 	}
 	f.cursor.StoreReplied(began, now, position)
-	changed := f.merge(items, full)
+	changed := f.merge(items, before, full)
 	lastOutage := f.cursor.LastOutage()
 	regained := f.noteRegained(now)
 	f.mu.Unlock()
@@ -323,10 +324,14 @@
 }
 
 // merge stores the items and returns those that have changed, in the order of their
-// revisions. The mutex must be held since the cursor was advanced: an update for another host
-// must contain all changes up to the position that it states.
-func (f *Feed) merge(items []Item, full bool) []Item {
+// revisions. before is the position of the known items; those of an earlier era are replaced.
+// The mutex must be held since the cursor was advanced: an update for another host must
+// contain all changes up to the position that it states.
+func (f *Feed) merge(items []Item, before Position, full bool) []Item {
 	sort.SliceStable(items, func(i, j int) bool { return items[i].Revision < items[j].Revision })
+	if full && before.Era() < f.cursor.Position().Era() {
+		return f.replace(items)
+	}
 	var changed []Item
 	if full {
 		changed = f.deleteMissing(items)
@@ -355,6 +360,29 @@
 	return changed
 }
 
+// replace replaces all known items by those of a new era, whatever their revisions, and returns
+// those whose values differ and tombstones of those that are missing. The mutex must be held.
+func (f *Feed) replace(all []Item) []Item {
+	known := f.items
+	f.items, f.tombstones = make(map[string]Item, len(all)), nil
+	f.oldestRevision = f.cursor.Position().Revision()
+	var changed []Item
+	for _, i := range all {
+		i.fingerprintRevision = i.Revision
+		f.items[i.Key] = i
+		if old, ok := known[i.Key]; !ok || !bytes.Equal(old.Value, i.Value) {
+			changed = append(changed, i)
+		}
+	}
+	var missing []Item
+	for key := range known {
+		if _, ok := f.items[key]; !ok {
+			missing = append(missing, Item{Key: key, Revision: f.oldestRevision, Deleted: true})
+		}
+	}
+	return append(missing, changed...)
+}
+
 // deleteMissing deletes the known items that are missing from a list of all items and
 // returns their tombstones.
 func (f *Feed) deleteMissing(all []Item) []Item {
--- a/internal/fleet/feed/return_test.go
+++ b/internal/fleet/feed/return_test.go
@@ -55,6 +55,56 @@
 	}
 }
 
+// TestLostItemIsWrittenAgain guards against hosts that ignore an item because they know a later
+// revision of it, which the store has lost (review/12).
+func TestLostItemIsWrittenAgain(t *testing.T) {
+	for _, hosts := range []int{1, 9} {
+		inBubble(t, func(t *testing.T, ctx context.Context) {
+			s := newStore(returnTargets)
+			s.write("removed-before", "x")
+			s.write("written-before", "x")
+			go s.beat(ctx)
+			fl := startFleet(ctx, s, hosts)
+			s.drill(2*time.Second, time.Second, func() {
+				time.Sleep(time.Second)
+				s.write("manifest", "2")
+				s.write("removed-before", "")
+				s.write("lost", "x")
+			})
+			s.write("manifest", "3")
+			time.Sleep(applyTimeout)
+			assert.Empty(t, fl.lagging("manifest", "3"))
+			assert.Empty(t, fl.lagging("lost", ""), "what the copy lacks is gone")
+			assert.Empty(t, fl.lagging("removed-before", "x"), "what the copy has is there")
+			assert.Empty(t, fl.lagging("written-before", "x"))
+		})
+	}
+}
+
+// TestSecondReturnWithinSeconds has the store come back from a copy twice, the second time
+// before all hosts have read the first era.
+func TestSecondReturnWithinSeconds(t *testing.T) {
+	for gap := 50 * time.Millisecond; gap < 4*time.Second; gap += 350 * time.Millisecond {
+		t.Run(gap.String(), func(t *testing.T) {
+			inBubble(t, func(t *testing.T, ctx context.Context) {
+				s := newStore(returnTargets)
+				go s.beat(ctx)
+				fl := startFleet(ctx, s, 9)
+				old := s.copyContent()
+				s.drill(4*time.Second, time.Second, func() {})
+				s.write("manifest", "2")
+				time.Sleep(gap)
+				s.setFaults(true, false)
+				time.Sleep(500 * time.Millisecond)
+				s.returnFrom(old)
+				s.write("manifest", "3")
+				time.Sleep(applyTimeout)
+				assert.Empty(t, fl.lagging("manifest", "3"))
+			})
+		})
+	}
+}
+
 // TestReaderIsKilledAsStoreReturns kills the reader before, while and after it reads the new
 // era, so that its successor starts from any of these states.
 func TestReaderIsKilledAsStoreReturns(t *testing.T) {
