--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -37,6 +37,9 @@
 	Value    []byte
 	Revision int64
 	Deleted  bool
+	// Lost is set, beside Deleted, if the item was not deleted by anyone but is missing from the
+	// copy from which the store has come back.
+	Lost bool
 	// Fingerprint is equal for values of a key that differ only in heartbeats; it is
 	// empty if each value counts as a change. An update for another host contains an
 	// item only if its fingerprint has changed.
@@ -377,7 +380,7 @@
 	var missing []Item
 	for key := range known {
 		if _, ok := f.items[key]; !ok {
-			missing = append(missing, Item{Key: key, Revision: f.oldestRevision, Deleted: true})
+			missing = append(missing, Item{Key: key, Revision: f.oldestRevision, Deleted: true, Lost: true})
 		}
 	}
 	return append(missing, changed...)
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -43,7 +43,7 @@
 type Catalog struct {
 	targets   map[string]*Entry
 	services  map[string][]*Entry
-	evacuated map[string]bool
+	evacuated map[string]evacuation
 	// statements holds what targets said of themselves in their answers, by ID. They outlive
 	// the record of the target.
 	statements map[string]*statement
@@ -156,32 +156,6 @@
 	c.services[e.Service] = kept
 }
 
-// SetEvacuated records whether the operators have evacuated a data centre, and reports
-// whether that is a change.
-func (c *Catalog) SetEvacuated(dataCentre string, evacuated bool) bool {
-	if c.evacuated[dataCentre] == evacuated {
-		return false
-	}
-	if c.evacuated == nil {
-		c.evacuated = map[string]bool{}
-	}
-	c.evacuated[dataCentre] = evacuated
-	return true
-}
-
-// Evacuated reports whether the operators have evacuated a data centre.
-func (c *Catalog) Evacuated(dataCentre string) bool { return c.evacuated[dataCentre] }
-
-// AppendEvacuated appends the names of the evacuated data centres to dst.
-func (c *Catalog) AppendEvacuated(dst []string) []string {
-	for name, evacuated := range c.evacuated {
-		if evacuated {
-			dst = append(dst, name)
-		}
-	}
-	return dst
-}
-
 // Usable reports whether new requests can be sent to the target while it is open: it is not
 // leaving, and its data centre is not evacuated.
 func (c *Catalog) Usable(e *Entry) bool { return !c.Leaving(e) && !c.Evacuated(e.DataCentre) }
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -30,9 +30,11 @@
 	// DeletedTarget is the ID of a target that is no longer in the store.
 	DeletedTarget string
 	// DataCentre is a data centre that the operators evacuate or, if Restored is set,
-	// use again.
+	// use again. Lost is set, beside Restored, if the store has lost the entry of the
+	// evacuation.
 	DataCentre string
 	Restored   bool
+	Lost       bool
 	// Host is a host whose record was written to the store.
 	Host *peers.Host
 }
@@ -221,6 +223,9 @@
 	senders := g.fleet.Senders()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	for _, dataCentre := range g.catalog.ExpireEvacuations(now, nil) {
+		g.log.Info("data centre evacuation changed", "data-centre", dataCentre, "out", false, "reason", "entry-lost")
+	}
 	var dropped []string
 	for _, id := range g.catalog.Expire(now, nil) {
 		dropped = append(dropped, id+":not-back")
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -54,9 +54,21 @@
 	case c.DeletedTarget != "":
 		g.removeTarget(now, c.DeletedTarget, outage)
 	case c.DataCentre != "":
-		if g.catalog.SetEvacuated(c.DataCentre, !c.Restored) {
-			g.log.Info("data centre evacuation changed", "data-centre", c.DataCentre, "out", !c.Restored, "revision", revision)
+		g.setEvacuated(now, revision, c)
+	}
+}
+
+// setEvacuated applies the entry of an evacuation, or its end. An evacuation whose entry the
+// store has lost stays in force until the operators have had time to write it again.
+func (g *Gateway) setEvacuated(now time.Time, revision int64, c Change) {
+	if c.Lost && c.Restored {
+		if g.catalog.EvacuationLost(now, c.DataCentre) {
+			g.log.Info("data centre evacuation kept", "data-centre", c.DataCentre, "reason", "entry-lost", "revision", revision)
 		}
+		return
+	}
+	if g.catalog.SetEvacuated(c.DataCentre, !c.Restored) {
+		g.log.Info("data centre evacuation changed", "data-centre", c.DataCentre, "out", !c.Restored, "revision", revision)
 	}
 }
 
