--- a/internal/fleet/peers/records.go
+++ b/internal/fleet/peers/records.go
@@ -20,6 +20,10 @@
 	activeRecordDelay = 2 * time.Second
 	// renewRetryDelay is the time from a failed renewal to the next attempt.
 	renewRetryDelay = 1500 * time.Millisecond
+	// rewriteSpacing is the mean time between the renewals of two hosts after the store has lost
+	// the records of all. Each takes two writes, of which the store accepts a few hundred a
+	// second.
+	rewriteSpacing = 10 * time.Millisecond
 	// isolatedReadInterval is the time between two reads of the records while the data
 	// centre is isolated or until the first read succeeds. readInterval is the time
 	// otherwise: hosts that could not reach each other for long have removed each other
@@ -53,11 +57,7 @@
 // interval. active is what the record should say; if it has changed since the last
 // renewal, a renewal is due at once.
 func (r *RecordSchedule) RenewDue(now time.Time, active bool) bool {
-	interval := standbyRenewInterval
-	if active {
-		interval = activeRenewInterval
-	}
-	if !r.lastRenewal.IsZero() && active == r.active && now.Sub(r.lastRenewal) < interval {
+	if !r.lastRenewal.IsZero() && active == r.active && now.Sub(r.lastRenewal) < r.renewInterval() {
 		return false
 	}
 	r.lastRenewal, r.active = now, active
@@ -67,11 +67,24 @@
 // RenewFailed records that the record could not be renewed, so that the next renewal is due
 // after renewRetryDelay.
 func (r *RecordSchedule) RenewFailed(now time.Time) {
-	interval := standbyRenewInterval
+	r.lastRenewal = now.Add(renewRetryDelay - r.renewInterval())
+}
+
+// RecordLost records that the store may have lost the records of all hosts. That of this one is
+// due, if it is not earlier, after a random part, from 0 to 1, of the time in which a fleet of
+// the given size writes its records.
+func (r *RecordSchedule) RecordLost(now time.Time, size int, random float64) {
+	delay := time.Duration(random * float64(size) * float64(rewriteSpacing))
+	if at := now.Add(delay - r.renewInterval()); at.Before(r.lastRenewal) {
+		r.lastRenewal = at
+	}
+}
+
+func (r *RecordSchedule) renewInterval() time.Duration {
 	if r.active {
-		interval = activeRenewInterval
+		return activeRenewInterval
 	}
-	r.lastRenewal = now.Add(renewRetryDelay - interval)
+	return standbyRenewInterval
 }
 
 // ReadDue reports whether the records should be read now, and if so, starts the next
--- a/internal/fleet/peers/records_test.go
+++ b/internal/fleet/peers/records_test.go
@@ -1,6 +1,7 @@
 package peers_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -63,6 +64,35 @@
 	assert.True(t, r.RenewDue(began.Add(2600*time.Millisecond), false))
 }
 
+// TestLostRecordsAreWrittenAgainSpread guards against records that are missing for as long as a
+// host on standby waits between renewals, and against 300 hosts that write them all at once.
+func TestLostRecordsAreWrittenAgainSpread(t *testing.T) {
+	const hosts = 300
+	began := time.Unix(1_700_000_000, 0)
+	lostAt := began.Add(3 * time.Second)
+	random := rand.New(rand.NewPCG(1, 1))
+	writes := map[int64]int{}
+	for range hosts {
+		var r peers.RecordSchedule
+		assert.True(t, r.RenewDue(began, false))
+		r.RecordLost(lostAt, hosts, random.Float64())
+		now := lostAt
+		for !r.RenewDue(now, false) {
+			now = now.Add(10 * time.Millisecond)
+		}
+		assert.Less(t, now.Sub(lostAt), 4*time.Second)
+		writes[now.Unix()] += 2
+		assert.False(t, r.RenewDue(now.Add(time.Second), false))
+	}
+	for _, n := range writes {
+		assert.Less(t, n, 300, "writes in a second")
+	}
+	var r peers.RecordSchedule
+	r.RenewDue(began, false)
+	r.RecordLost(began.Add(17*time.Second), hosts, 1)
+	assert.True(t, r.RenewDue(began.Add(18*time.Second), false), "it is not put off")
+}
+
 func TestRecordIsActiveAfterDelay(t *testing.T) {
 	began := time.Unix(1_700_000_000, 0)
 	at := func(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
--- a/internal/serving/server/addresses.go
+++ b/internal/serving/server/addresses.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"fescuerill/host"
@@ -33,7 +34,7 @@
 func (s *Server) recordLoop(ctx context.Context, self peers.Self) {
 	record := peers.Host{Address: self.Address, DataCentre: self.DataCentre, Incarnation: self.Incarnation, Cores: self.Cores}
 	var schedule peers.RecordSchedule
-	discovered := false
+	discovered, era := false, int64(0)
 	t := time.NewTicker(recordInterval)
 	defer t.Stop()
 	for first := true; ctx.Err() == nil; first = false {
@@ -42,6 +43,11 @@
 			schedule.ReadSucceeded(time.Now())
 			discovered = true
 		}
+		newest := s.feed.State(time.Now()).NewestEra
+		if era != 0 && newest > era {
+			schedule.RecordLost(time.Now(), s.peers.Size(), rand.Float64())
+		}
+		era = newest
 		record.Active = schedule.Active(time.Now(), s.active.Load().selfActive)
 		if schedule.RenewDue(time.Now(), record.Active) {
 			if err := s.platform.RenewHostRecord(ctx, record); err != nil && ctx.Err() == nil {
