Hold back a target that only an old copy of the store calls ready

Cause: reports of a target are ordered by start and sequence number only while the host knows the target. Besides, an older report of a target that was missing since an outage did not count as its being back, and the heartbeat that confirms such a target was not passed on to other hosts.

Change: the last report of a dropped target is remembered for a minute; one from the first list of a new era that is not newer is held back, for four seconds at most.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -40,6 +40,9 @@
 	// Lost is set, beside Deleted, if the item was not deleted by anyone but is missing from the
 	// copy from which the store has come back.
 	Lost bool
+	// Unconfirmed is set if the store has come back from a copy with an item that was not known
+	// before. The copy may be older than its deletion.
+	Unconfirmed bool
 	// Fingerprint is equal for values of a key that differ only in heartbeats; it is
 	// empty if each value counts as a change. An update for another host contains an
 	// item only if its fingerprint has changed.
@@ -372,8 +375,13 @@
 	var changed []Item
 	for _, i := range all {
 		i.fingerprintRevision = i.Revision
+		old, ok := known[i.Key]
+		if !ok {
+			// The next heartbeat confirms the item, so it is news for other hosts.
+			i.Unconfirmed, i.Fingerprint = true, ""
+		}
 		f.items[i.Key] = i
-		if old, ok := known[i.Key]; !ok || !bytes.Equal(old.Value, i.Value) {
+		if !ok || !bytes.Equal(old.Value, i.Value) {
 			changed = append(changed, i)
 		}
 	}
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -47,6 +47,8 @@
 	// statements holds what targets said of themselves in their answers, by ID. They outlive
 	// the record of the target.
 	statements map[string]*statement
+	// departures holds the targets that were dropped lately, by ID.
+	departures map[string]*departure
 	// lastOutage is the time of the latest outage in which a target became missing.
 	lastOutage time.Time
 }
@@ -73,6 +75,9 @@
 // remaining warm-up time of a target that stays cold. Older reports are ignored.
 func (c *Catalog) Put(now time.Time, t Target) bool {
 	old := c.targets[t.ID]
+	if old != nil && t.Incarnation == old.Incarnation {
+		old.missing = false
+	}
 	if old != nil && (t.Incarnation < old.Incarnation || t.Incarnation == old.Incarnation && t.Sequence < old.Sequence) {
 		return false
 	}
@@ -81,12 +86,12 @@
 		e.ColdUntil = now.Add(t.WarmupLeft)
 	}
 	if old != nil && equalIgnoringHeartbeat(old.Target, t) {
-		old.missing = false
 		old.Target = t
 		old.ColdUntil = e.ColdUntil
 		return false
 	}
 	c.drop(t.ID)
+	delete(c.departures, t.ID)
 	if c.targets == nil {
 		c.targets = map[string]*Entry{}
 		c.services = map[string][]*Entry{}
@@ -111,12 +116,15 @@
 // outage is kept, and dropped by Expire unless it registers again. A leaving target is
 // always dropped.
 func (c *Catalog) Remove(now time.Time, id string, outage time.Time) bool {
+	if d := c.departures[id]; d != nil {
+		d.held = nil
+	}
 	e := c.targets[id]
 	if e == nil {
 		return false
 	}
 	if c.Leaving(e) || outage.IsZero() || now.Sub(outage) > ReregistrationTimeout {
-		c.drop(id)
+		c.depart(now, e)
 		return true
 	}
 	if outage.After(c.lastOutage) {
@@ -128,12 +136,13 @@
 
 // Expire drops the missing targets that did not register again within
 // ReregistrationTimeout of the outage, and appends their IDs to dst. It also drops what
-// targets said long ago.
+// targets said, and the departures of targets, long ago.
 func (c *Catalog) Expire(now time.Time, dst []string) []string {
 	c.expireStatements(now)
+	c.expireDepartures(now)
 	for id, e := range c.targets {
 		if e.missing && now.Sub(c.lastOutage) > ReregistrationTimeout {
-			c.drop(id)
+			c.depart(now, e)
 			dst = append(dst, id)
 		}
 	}
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -226,6 +226,11 @@
 	for _, dataCentre := range g.catalog.ExpireEvacuations(now, nil) {
 		g.log.Info("data centre evacuation changed", "data-centre", dataCentre, "out", false, "reason", "entry-lost")
 	}
+	for _, t := range g.catalog.ReleaseHeld(now, nil) {
+		g.log.Info("target of an earlier report used again", "target", t.ID, "service", t.Service, "sequence", t.Sequence)
+		g.putTarget(now, t, false)
+	}
+	g.targetChanges = g.targetChanges[:0]
 	var dropped []string
 	for _, id := range g.catalog.Expire(now, nil) {
 		dropped = append(dropped, id+":not-back")
--- a/internal/serving/gateway/updates.go
+++ b/internal/serving/gateway/updates.go
@@ -32,7 +32,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for i, c := range changes {
-		g.applyChange(now, items[i].Revision, c, outage)
+		g.applyChange(now, items[i], c, outage)
 	}
 	g.stats.SetGauge("targets-known", g.catalog.Len())
 	if full {
@@ -45,16 +45,16 @@
 }
 
 // applyChange applies the content of one store item. The gateway is locked.
-func (g *Gateway) applyChange(now time.Time, revision int64, c Change, outage time.Time) {
+func (g *Gateway) applyChange(now time.Time, i feed.Item, c Change, outage time.Time) {
 	switch {
 	case c.Manifest != nil:
-		g.setManifest(revision, c.Manifest)
+		g.setManifest(i.Revision, c.Manifest)
 	case c.Target != nil:
-		g.putTarget(now, *c.Target)
+		g.putTarget(now, *c.Target, i.Unconfirmed)
 	case c.DeletedTarget != "":
 		g.removeTarget(now, c.DeletedTarget, outage)
 	case c.DataCentre != "":
-		g.setEvacuated(now, revision, c)
+		g.setEvacuated(now, i.Revision, c)
 	}
 }
 
@@ -86,11 +86,18 @@
 }
 
 // putTarget records a target. If it has restarted, its connections and its observed state
-// are dropped.
-func (g *Gateway) putTarget(now time.Time, t catalog.Target) {
+// are dropped. An unconfirmed report does not bring back a target that was dropped after it.
+func (g *Gateway) putTarget(now time.Time, t catalog.Target, unconfirmed bool) {
 	old := g.catalog.Get(t.ID)
 	restarted := old != nil && old.Incarnation != t.Incarnation
-	if !g.catalog.Put(now, t) {
+	put := g.catalog.Put
+	if unconfirmed {
+		put = g.catalog.PutUnconfirmed
+	}
+	if !put(now, t) {
+		if g.catalog.Get(t.ID) == nil {
+			g.targetChanges = append(g.targetChanges, fmt.Sprintf("%s:%s:%s:held", t.ID, t.Service, t.DataCentre))
+		}
 		return
 	}
 	if restarted {
