--- a/internal/fleet/feed/cursor.go
+++ b/internal/fleet/feed/cursor.go
@@ -59,8 +59,8 @@
 type Cursor struct {
 	position Position
 	listed   bool
-	// newestEra is the latest era of the store that this host or another one has seen, and
-	// eraSeenAt is when this host learned of it.
+	// newestEra is the latest era of the store that this host has seen in an answer, at
+	// eraSeenAt.
 	newestEra int64
 	eraSeenAt time.Time
 	// compacted is set while changes are missing that the store has lost.
@@ -188,9 +188,9 @@
 	}
 }
 
-// EraSeen records that this host, or another one, got an answer of the store in an era. If the
-// era is new, the store has come back from a copy, and all items must be read anew: from the
-// reader, which must read them itself first, or else from the store.
+// EraSeen records that the store answered a call of any kind in an era. If the era is new, the
+// store has come back from a copy, and all items must be read anew: from the reader, which must
+// read them itself first, or else from the store.
 func (c *Cursor) EraSeen(now time.Time, era int64) {
 	if era <= c.NewestEra() {
 		return
@@ -254,8 +254,8 @@
 	c.nextCall = began.Add(c.interval(now) / 2)
 }
 
-// PeerBehind records that another host replied that knows only an earlier era of the store. The
-// request has told it of the later one, so it is asked again soon.
+// PeerBehind records that another host replied that knows only an earlier era of the store. It
+// is asked again soon.
 func (c *Cursor) PeerBehind(began, now time.Time) {
 	c.currentUpdateAt, c.peerRepliedAt = time.Time{}, now
 	switch {
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -1,10 +1,8 @@
 package feed
 
 import (
-	"bytes"
 	"context"
 	"log/slog"
-	"sort"
 	"sync"
 	"time"
 
@@ -27,8 +25,6 @@
 	watchWait = 400 * time.Millisecond
 	// callTimeout is the time limit of a call, without watchWait.
 	callTimeout = 700 * time.Millisecond
-	// maxTombstones is the number of deletions that are kept for updates to other hosts.
-	maxTombstones = 1024
 )
 
 // Item is an item of the store. Only the Sink interprets its value.
@@ -66,34 +62,6 @@
 	Era() int64
 }
 
-// Request is a request of a host to another one for an update.
-type Request struct {
-	// After is the position up to which the requesting host knows all changes.
-	After Position
-	// AnyEra is set if After has no era, as in requests of hosts that know of none. Its
-	// revision then counts in the era of the host that replies.
-	AnyEra bool
-	// NewestEra is the latest era of the store of which the requesting host knows.
-	NewestEra int64
-	// Full requests all items.
-	Full bool
-}
-
-// Update holds the changes of the store after a position, or all its items, as another
-// host knows them.
-type Update struct {
-	Items []Item
-	// Position is the position up to which the host that replies knows all changes.
-	Position Position
-	// Full is set if Items are all items of the store.
-	Full bool
-	// Age is the time since the store last answered that host.
-	Age time.Duration
-	// LastOutage is the time of the last store outage for the host that read the items
-	// from the store, or zero.
-	LastOutage time.Time
-}
-
 // Peers provides updates from the other hosts.
 type Peers interface {
 	// HasReader reports whether a designated reader, another host, reads the store on
@@ -144,11 +112,11 @@
 // Run follows the store until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		f.noteEra(f.source.Era(), "store")
+		f.noteEra(f.source.Era())
 		hasReader, hasPeers := f.peers.HasReader(), f.peers.HasLive()
 		f.mu.Lock()
 		action, at := f.cursor.Next(time.Now(), hasReader, hasPeers)
-		request := Request{After: f.cursor.Position(), NewestEra: f.cursor.NewestEra(), Full: !f.cursor.Listed()}
+		request := Request{After: f.cursor.Position(), Full: !f.cursor.Listed()}
 		f.mu.Unlock()
 		switch action {
 		case None:
@@ -163,8 +131,8 @@
 	}
 }
 
-// noteEra takes notice of an era of the store that this host or another one has seen.
-func (f *Feed) noteEra(era int64, through string) {
+// noteEra takes notice of an era that the store has stated in an answer.
+func (f *Feed) noteEra(era int64) {
 	f.mu.Lock()
 	before, listed := f.cursor.Position(), f.cursor.Listed()
 	isNew := era > f.cursor.NewestEra()
@@ -172,7 +140,7 @@
 	f.mu.Unlock()
 	if isNew && listed {
 		f.stats.Add("store-eras-begun", 1)
-		f.log.Info("store era begun", "known", before, "era", era, "through", through)
+		f.log.Info("store era begun", "known", before, "era", era)
 	}
 }
 
@@ -214,7 +182,7 @@
 	case err != nil:
 		f.storeFailed(ctx, "watch", began, err)
 	case position.Era() > after.Era():
-		f.noteEra(position.Era(), "store")
+		f.noteEra(position.Era())
 	default:
 		f.storeReplied(ctx, began, items, position, false)
 	}
@@ -328,130 +296,3 @@
 	}
 	return regained
 }
-
-// merge stores the items and returns those that have changed, in the order of their
-// revisions. before is the position of the known items; those of an earlier era are replaced.
-// The mutex must be held since the cursor was advanced: an update for another host must
-// contain all changes up to the position that it states.
-func (f *Feed) merge(items []Item, before Position, full bool) []Item {
-	sort.SliceStable(items, func(i, j int) bool { return items[i].Revision < items[j].Revision })
-	if full && before.Era() < f.cursor.Position().Era() {
-		return f.replace(items)
-	}
-	var changed []Item
-	if full {
-		changed = f.deleteMissing(items)
-		// Items that were created and deleted before the list have no tombstone.
-		f.oldestRevision = max(f.oldestRevision, f.cursor.Position().Revision())
-	}
-	for _, i := range items {
-		if known := f.items[i.Key].Revision; i.Revision <= known {
-			if i.Revision < known {
-				f.stats.Add("store-items-outdated", 1)
-			}
-			continue
-		}
-		changed = append(changed, i)
-		if i.Deleted {
-			delete(f.items, i.Key)
-			f.addTombstone(i)
-			continue
-		}
-		i.fingerprintRevision = i.Revision
-		if old, ok := f.items[i.Key]; ok && i.Fingerprint != "" && i.Fingerprint == old.Fingerprint {
-			i.fingerprintRevision = old.fingerprintRevision
-		}
-		f.items[i.Key] = i
-	}
-	return changed
-}
-
-// replace replaces all known items by those of a new era, whatever their revisions, and returns
-// those whose values differ and tombstones of those that are missing. The mutex must be held.
-func (f *Feed) replace(all []Item) []Item {
-	known := f.items
-	f.items, f.tombstones = make(map[string]Item, len(all)), nil
-	f.oldestRevision = f.cursor.Position().Revision()
-	var changed []Item
-	for _, i := range all {
-		i.fingerprintRevision = i.Revision
-		old, ok := known[i.Key]
-		if !ok {
-			// The next heartbeat confirms the item, so it is news for other hosts.
-			i.Unconfirmed, i.Fingerprint = true, ""
-		}
-		f.items[i.Key] = i
-		if !ok || !bytes.Equal(old.Value, i.Value) {
-			changed = append(changed, i)
-		}
-	}
-	var missing []Item
-	for key := range known {
-		if _, ok := f.items[key]; !ok {
-			missing = append(missing, Item{Key: key, Revision: f.oldestRevision, Deleted: true, Lost: true})
-		}
-	}
-	return append(missing, changed...)
-}
-
-// deleteMissing deletes the known items that are missing from a list of all items and
-// returns their tombstones.
-func (f *Feed) deleteMissing(all []Item) []Item {
-	present := map[string]bool{}
-	for _, i := range all {
-		present[i.Key] = true
-	}
-	var deleted []Item
-	for key, i := range f.items {
-		if !present[key] {
-			tombstone := Item{Key: key, Revision: max(i.Revision, f.cursor.Position().Revision()), Deleted: true}
-			deleted = append(deleted, tombstone)
-			delete(f.items, key)
-			f.addTombstone(tombstone)
-		}
-	}
-	return deleted
-}
-
-func (f *Feed) addTombstone(i Item) {
-	f.tombstones = append(f.tombstones, i)
-	if n := len(f.tombstones) - maxTombstones; n > 0 {
-		f.oldestRevision = f.tombstones[n-1].Revision
-		f.tombstones = f.tombstones[n:]
-	}
-}
-
-// UpdateSince returns an update for another host with the changes after a position, or
-// with all items if they are requested or the changes are not all known. A host that is ahead
-// of this one gets no items. It reports false if no list of the items has been read.
-func (f *Feed) UpdateSince(now time.Time, r Request) (Update, bool) {
-	f.noteEra(r.NewestEra, "host")
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.cursor.Listed() {
-		return Update{}, false
-	}
-	position, after := f.cursor.Position(), r.After
-	if r.AnyEra {
-		after = At(position.Era(), after.Revision())
-	}
-	update := Update{
-		Position: position, Full: r.Full || after.Before(At(position.Era(), f.oldestRevision)),
-		Age: now.Sub(f.cursor.LastReply()), LastOutage: f.cursor.ReaderOutage(),
-	}
-	if !update.Full && position.Before(after) {
-		f.stats.Add("updates-for-hosts-ahead", 1)
-		return update, true
-	}
-	for _, i := range f.items {
-		if update.Full || i.fingerprintRevision > after.Revision() {
-			update.Items = append(update.Items, i)
-		}
-	}
-	for _, i := range f.tombstones {
-		if _, exists := f.items[i.Key]; !update.Full && i.Revision > after.Revision() && !exists {
-			update.Items = append(update.Items, i)
-		}
-	}
-	return update, true
-}
--- a/internal/fleet/peers/updates.go
+++ b/internal/fleet/peers/updates.go
@@ -117,9 +117,6 @@
 		era = *m.Era
 	}
 	r.After = feed.At(int64(era), int64(m.Revision))
-	if m.NewestEra != nil {
-		r.NewestEra = int64(*m.NewestEra)
-	}
 	return r
 }
 
@@ -300,9 +297,9 @@
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no methods here"}
 		}))
 	defer func() { _ = client.Close() }()
-	readsPacked, era, newestEra := true, int(r.After.Era()), int(r.NewestEra)
+	readsPacked, era := true, int(r.After.Era())
 	request := fleet.UpdateRequest{
-		Revision: int(r.After.Revision()), Era: &era, NewestEra: &newestEra, Whole: r.Full, Packed: &readsPacked, From: p.self.Address, DataCentre: p.self.DataCentre, PartsPerSecond: p.ownLoad(),
+		Revision: int(r.After.Revision()), Era: &era, Whole: r.Full, Packed: &readsPacked, From: p.self.Address, DataCentre: p.self.DataCentre, PartsPerSecond: p.ownLoad(),
 	}
 	if err := client.Call(ctx, updateMethod, request, &reply); err != nil {
 		return reply, errors.Wrap(err, "fetch store update from host "+address)
--- a/internal/schema/fleet/fleet.gen.go
+++ b/internal/schema/fleet/fleet.gen.go
@@ -148,9 +148,6 @@
 	// Peer address of the requesting host.
 	From string `json:"from"`
 
-	// Latest era of the store of which the requesting host knows.
-	NewestEra *int `json:"newest-era,omitempty,omitzero"`
-
 	// Whether the requesting host can read packed items.
 	Packed *bool `json:"packed,omitempty,omitzero"`
 
