--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -38,20 +38,22 @@
 	items    map[string]feed.Item
 	history  []feed.Item
 	revision int64
+	// oldest is the revision from which the history is known.
+	oldest int64
 }
 
 // copyContent returns a copy of what the store holds.
 func (s *store) copyContent() content {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return content{items: maps.Clone(s.items), history: slices.Clone(s.history), revision: s.revision}
+	return content{items: maps.Clone(s.items), history: slices.Clone(s.history), revision: s.revision, oldest: s.oldest}
 }
 
 // returnFrom makes the store come back from a copy, in a new era.
 func (s *store) returnFrom(c content) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.content = content{items: maps.Clone(c.items), history: slices.Clone(c.history), revision: c.revision}
+	s.content = content{items: maps.Clone(c.items), history: slices.Clone(c.history), revision: c.revision, oldest: c.oldest}
 	s.era++
 	s.down = false
 }
@@ -77,6 +79,13 @@
 	s.down, s.compacted = down, compacted
 }
 
+// compact discards the history, and with it what watches from an earlier revision need.
+func (s *store) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.oldest = nil, s.revision
+}
+
 func (s *store) setEra(era int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -125,7 +134,7 @@
 	switch {
 	case s.down:
 		return nil, feed.Position{}, errDown
-	case s.compacted || after > s.revision:
+	case s.compacted || after < s.oldest || after > s.revision:
 		s.seenEra = s.era
 		return nil, feed.Position{}, feed.ErrCompacted
 	}
