--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -36,8 +36,8 @@
 	// Lost is set, beside Deleted, if the item was not deleted by anyone but is missing from the
 	// copy from which the store has come back.
 	Lost bool
-	// Unconfirmed is set if the store has come back from a copy with an item that was not known
-	// before. The copy may be older than its deletion.
+	// Unconfirmed is set if the store has come back from a copy with the item. The copy may be
+	// older than what was known of it, or than its deletion.
 	Unconfirmed bool
 	// Fingerprint is equal for values of a key that differ only in heartbeats; it is
 	// empty if each value counts as a change. An update for another host contains an
--- a/internal/fleet/feed/merge.go
+++ b/internal/fleet/feed/merge.go
@@ -55,9 +55,10 @@
 	for _, i := range all {
 		i.fingerprintRevision = i.Revision
 		old, ok := known[i.Key]
+		i.Unconfirmed = true
 		if !ok {
 			// The next heartbeat confirms the item, so it is news for other hosts.
-			i.Unconfirmed, i.Fingerprint = true, ""
+			i.Fingerprint = ""
 		}
 		f.items[i.Key] = i
 		if !ok || !bytes.Equal(old.Value, i.Value) {
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -36,6 +36,8 @@
 	// missing reports that the target's record disappeared from the store during an outage
 	// or soon after it.
 	missing bool
+	// ignored is the last report that was ignored since it is older than this one, or nil.
+	ignored *Target
 }
 
 // Catalog holds all known targets. The zero value is empty and ready to use. It is
@@ -72,14 +74,20 @@
 
 // Put records a target as reported by the store, and reports whether the report is more
 // than a heartbeat: whether it changes anything but the sequence number and the
-// remaining warm-up time of a target that stays cold. Older reports are ignored.
+// remaining warm-up time of a target that stays cold. An older report is ignored, unless it
+// follows another ignored one: then it is the known report that was odd.
 func (c *Catalog) Put(now time.Time, t Target) bool {
 	old := c.targets[t.ID]
 	if old != nil && t.Incarnation == old.Incarnation {
 		old.missing = false
 	}
-	if old != nil && (t.Incarnation < old.Incarnation || t.Incarnation == old.Incarnation && t.Sequence < old.Sequence) {
-		return false
+	if old != nil && old.newerThan(t) {
+		follows := old.ignored != nil && old.ignored.Incarnation == t.Incarnation && old.ignored.Sequence < t.Sequence
+		old.ignored = &t
+		if !follows {
+			return false
+		}
+		c.moveStatement(t.ID, old.Incarnation, t.Incarnation)
 	}
 	e := &Entry{Target: t}
 	if t.WarmupLeft > 0 {
@@ -88,6 +96,7 @@
 	if old != nil && equalIgnoringHeartbeat(old.Target, t) {
 		old.Target = t
 		old.ColdUntil = e.ColdUntil
+		old.ignored = nil
 		return false
 	}
 	c.drop(t.ID)
@@ -101,6 +110,11 @@
 	return true
 }
 
+// newerThan reports whether a report of a target is newer than another one.
+func (t Target) newerThan(other Target) bool {
+	return t.Incarnation > other.Incarnation || t.Incarnation == other.Incarnation && t.Sequence > other.Sequence
+}
+
 // equalIgnoringHeartbeat reports whether two reports differ at most in their sequence
 // numbers and in their remaining warm-up times, while both are cold or both warm.
 func equalIgnoringHeartbeat(a, b Target) bool {
--- a/internal/routing/catalog/catalog_test.go
+++ b/internal/routing/catalog/catalog_test.go
@@ -102,3 +102,40 @@
 	assert.True(t, c.SetEvacuated("a", false))
 	assert.True(t, c.Usable(c.Get("t")))
 }
+
+// TestOddReportHidesNoLaterOnes guards against a report of another writer, with a start or a
+// sequence number far ahead, that hides all that the target reports itself (review/13).
+func TestOddReportHidesNoLaterOnes(t *testing.T) {
+	odd := target(3)
+	odd.Incarnation = 99_999_999_999_999
+	for name, report := range map[string]catalog.Target{"start": odd, "sequence": target(1 << 40)} {
+		t.Run(name, func(t *testing.T) {
+			var c catalog.Catalog
+			c.Put(start, target(2))
+			c.Put(start, report)
+			assert.False(t, c.Put(after(time.Second), target(4)), "it may be a late write of an earlier incarnation")
+			c.StateClosed(after(time.Second), "t", report.Incarnation, time.Minute)
+			leaving := target(9)
+			leaving.Leaving = true
+			assert.True(t, c.Put(after(5*time.Second), leaving))
+			assert.True(t, c.Leaving(c.Get("t")))
+			assert.Positive(t, c.ClosedFor(after(5*time.Second), c.Get("t")), "what the target said holds")
+		})
+	}
+}
+
+func TestLateReportsAreIgnored(t *testing.T) {
+	var c catalog.Catalog
+	leaving := target(9)
+	leaving.Leaving = true
+	c.Put(start, leaving)
+	assert.False(t, c.Put(start, target(8)), "a late write")
+	assert.False(t, c.Put(start, target(7)), "an even earlier one")
+	leaving.Sequence = 10
+	assert.False(t, c.Put(start, leaving), "a heartbeat")
+	assert.False(t, c.Put(start, target(8)))
+	for n := range int64(5) {
+		assert.False(t, c.PutUnconfirmed(start, target(4+n)), "copies of the store")
+	}
+	assert.True(t, c.Get("t").Leaving)
+}
--- a/internal/routing/catalog/departure.go
+++ b/internal/routing/catalog/departure.go
@@ -13,8 +13,8 @@
 
 // departure is what is known of a target that was dropped.
 type departure struct {
-	incarnation, sequence int64
-	at                    time.Time
+	last Target
+	at   time.Time
 	// held is an old report that the store has again since heldAt, or nil.
 	held   *Target
 	heldAt time.Time
@@ -25,16 +25,20 @@
 	if c.departures == nil {
 		c.departures = map[string]*departure{}
 	}
-	c.departures[e.ID] = &departure{incarnation: e.Incarnation, sequence: e.Sequence, at: now}
+	c.departures[e.ID] = &departure{last: e.Target, at: now}
 	c.drop(e.ID)
 }
 
-// PutUnconfirmed records a target like Put, from a copy of the store that may be older than the
-// removal of the target. A report that is not newer than the last one of a target that was
-// dropped is held back until ReleaseHeld returns it.
+// PutUnconfirmed records a target like Put, from a copy of the store that may be older than
+// what is known. A report that is not newer than the last one of a target that was dropped is
+// held back until ReleaseHeld returns it.
 func (c *Catalog) PutUnconfirmed(now time.Time, t Target) bool {
+	if old := c.targets[t.ID]; old != nil && old.newerThan(t) {
+		old.missing = old.missing && t.Incarnation != old.Incarnation
+		return false
+	}
 	d := c.departures[t.ID]
-	if d == nil || t.Incarnation > d.incarnation || t.Incarnation == d.incarnation && t.Sequence > d.sequence {
+	if d == nil || t.newerThan(d.last) {
 		return c.Put(now, t)
 	}
 	d.held, d.heldAt, d.at = &t, now, now
--- a/internal/routing/catalog/statement.go
+++ b/internal/routing/catalog/statement.go
@@ -64,6 +64,14 @@
 	return s
 }
 
+// moveStatement assigns what a target said under one incarnation to another one, which turned
+// out to be the one that runs.
+func (c *Catalog) moveStatement(id string, from, to int64) {
+	if s := c.statements[id]; s != nil && s.incarnation == from {
+		s.incarnation = to
+	}
+}
+
 // Leaving reports whether a target is leaving, by its record in the store or by its answers.
 func (c *Catalog) Leaving(e *Entry) bool {
 	s := c.statements[e.ID]
