Keep a draining target out though late writes of it arrive in order

Change: an older report of the same start never takes back that a target drains.

Test failed before: TestLateReportsAreIgnored.

--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -82,9 +82,9 @@
 		old.missing = false
 	}
 	if old != nil && old.newerThan(t) {
-		follows := old.ignored != nil && old.ignored.Incarnation == t.Incarnation && old.ignored.Sequence < t.Sequence
+		last := old.ignored
 		old.ignored = &t
-		if !follows {
+		if last == nil || !t.newerThan(*last) || t.Incarnation != last.Incarnation || old.leftBefore(t) {
 			return false
 		}
 		c.moveStatement(t.ID, old.Incarnation, t.Incarnation)
@@ -115,6 +115,12 @@
 	return t.Incarnation > other.Incarnation || t.Incarnation == other.Incarnation && t.Sequence > other.Sequence
 }
 
+// leftBefore reports whether a report says that the target is not leaving, although the same
+// incarnation has said that it is. No target takes that back.
+func (t Target) leftBefore(other Target) bool {
+	return t.Leaving && !other.Leaving && t.Incarnation == other.Incarnation
+}
+
 // equalIgnoringHeartbeat reports whether two reports differ at most in their sequence
 // numbers and in their remaining warm-up times, while both are cold or both warm.
 func equalIgnoringHeartbeat(a, b Target) bool {
--- a/internal/routing/catalog/catalog_test.go
+++ b/internal/routing/catalog/catalog_test.go
@@ -131,6 +131,7 @@
 	c.Put(start, leaving)
 	assert.False(t, c.Put(start, target(8)), "a late write")
 	assert.False(t, c.Put(start, target(7)), "an even earlier one")
+	assert.False(t, c.Put(start, target(8)), "late writes in their order")
 	leaving.Sequence = 10
 	assert.False(t, c.Put(start, leaving), "a heartbeat")
 	assert.False(t, c.Put(start, target(8)))
