Leave the store to the reader only after two failed calls

Cause: a host whose call fails left the store to its reader for four seconds if that had replied lately. Here the reader was cut off from the store, and the one call that each host made was cut as the store compacted its history.

Change: two failed calls in a row are needed, as for an outage.

Test failed before: TestSingleFailureDoesNotLeaveStoreToReaderCutOff.

--- a/internal/fleet/feed/cursor.go
+++ b/internal/fleet/feed/cursor.go
@@ -282,8 +282,6 @@
 	c.failures++
 	if c.failures >= outageThreshold {
 		c.lastOutage = now
-	}
-	if c.failures >= outageThreshold || c.readerReplies(now) {
 		c.storeRetryAt = now.Add(refusedRetryDelay)
 	}
 	c.nextCall = now.Add(min(maxRetryDelay, minRetryDelay<<min(c.failures-1, 4)))
--- a/internal/fleet/feed/cursor_test.go
+++ b/internal/fleet/feed/cursor_test.go
@@ -164,6 +164,26 @@
 	assert.Equal(t, feed.Watch, next(c, 1200, true, true), "the reader is lost too")
 }
 
+// TestSingleFailureDoesNotLeaveStoreToReaderCutOff guards against a host whose reader is cut off
+// from the store, and that leaves the store to it after one call that was cut: changes would be
+// missed for longer than they may take.
+func TestSingleFailureDoesNotLeaveStoreToReaderCutOff(t *testing.T) {
+	const readerAge = 6 * time.Second
+	c := listed()
+	c.PeerReplied(at(900), at(900), feed.At(0, 100), readerAge, time.Time{})
+	assert.Equal(t, feed.Watch, next(c, 1000, true, true))
+	c.StoreFailed(at(1000), false)
+	for ms := 1000; ms < 2000; ms += 10 {
+		switch next(c, ms, true, true) {
+		case feed.Fetch:
+			c.PeerReplied(at(ms), at(ms), feed.At(0, 100), readerAge, time.Time{})
+		case feed.Watch:
+			return
+		}
+	}
+	t.Error("the store is not called again within a second")
+}
+
 // TestReaderEndsOutageOfItsFollowers checks that a host whose own calls failed does not call
 // the store again when its reader follows it: after an outage or a compaction all followers
 // would do so at once.
