--- a/internal/fleet/peers/era_test.go
+++ b/internal/fleet/peers/era_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"testing"
-	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 	"github.com/stretchr/testify/assert"
@@ -16,30 +15,18 @@
 	"fescuerill/internal/schema/fleet"
 )
 
-// eraSource is an UpdateSource that records the last request.
-type eraSource struct {
-	position feed.Position
-	request  feed.Request
-}
-
-func (s *eraSource) UpdateSince(_ time.Time, r feed.Request) (feed.Update, bool) {
-	s.request = r
-	return feed.Update{Position: s.position}, true
-}
-
 // TestUpdateCarriesPositions checks that the positions of a request and of a reply arrive with
 // their eras.
 func TestUpdateCarriesPositions(t *testing.T) {
-	source := &eraSource{position: feed.At(4, 480)}
 	reader := join(t, 0, "a")
-	_, l := listenBoth(t)
-	go reader.Serve(t.Context(), l, source)
+	reader.source.era.Store(4)
+	reader.source.revision.Store(480)
 	m := join(t, 1, "a")
-	m.AddHost(peers.Host{Address: l.Addr().String(), DataCentre: "a", Incarnation: "x"})
+	m.AddHost(peers.Host{Address: reader.address, DataCentre: "a", Incarnation: "run0"})
 	got, err := m.FetchUpdate(t.Context(), feed.Request{After: feed.At(3, 520)})
 	require.NoError(t, err)
 	assert.Equal(t, feed.At(4, 480), got.Position)
-	assert.Equal(t, feed.Request{After: feed.At(3, 520)}, source.request)
+	assert.Equal(t, feed.Request{After: feed.At(3, 520)}, *reader.source.request.Load())
 }
 
 // serveWithoutEra answers update requests as a host that knows of no eras.
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -47,15 +47,18 @@
 	stop    context.CancelFunc
 }
 
-// updates is an UpdateSource at a revision. At revision 0 it has two changes after any
+// updates is an UpdateSource at a revision of an era. At revision 0 it has two changes after any
 // revision.
 type updates struct {
-	revision atomic.Int64
+	era, revision atomic.Int64
+	// request is the last one.
+	request atomic.Pointer[feed.Request]
 	// items, if not nil, are those of each update, but for one after a later revision.
 	items []feed.Item
 }
 
 func (u *updates) UpdateSince(_ time.Time, r feed.Request) (feed.Update, bool) {
+	u.request.Store(&r)
 	after, full := r.After.Revision(), r.Full
 	if last := feed.At(0, int64(len(u.items))); u.items != nil && last.Before(r.After) {
 		return feed.Update{Position: last}, true
@@ -64,7 +67,7 @@
 		return feed.Update{Position: feed.At(0, int64(len(u.items))), Full: full, Items: u.items}, true
 	}
 	if at := u.revision.Load(); at > 0 {
-		return feed.Update{Position: feed.At(0, at), Full: full}, true
+		return feed.Update{Position: feed.At(u.era.Load(), at), Full: full}, true
 	}
 	return feed.Update{
 		Items:    []feed.Item{{Key: "k", Value: []byte{0, 255}, Revision: after + 1}, {Key: "g", Revision: after + 2, Deleted: true}},
