--- a/internal/fleet/feed/fleet_test.go
+++ b/internal/fleet/feed/fleet_test.go
@@ -219,15 +219,16 @@
 	s := &store{content: content{items: map[string]feed.Item{}}, era: 1, targets: targets}
 	s.write("manifest", "1")
 	for n := range targets {
-		s.heartbeat(targetKey(n), "ready")
+		s.heartbeat(targetKey(n))
 	}
 	return s
 }
 
 func targetKey(n int) string { return "target-" + time.Duration(n).String() }
 
-// heartbeat writes the entry of a target, whose value is its state and a number.
-func (s *store) heartbeat(key, state string) {
+// heartbeat writes the entry of a target that is ready, whose value is its state and a number.
+func (s *store) heartbeat(key string) {
+	const state = "ready"
 	s.mu.Lock()
 	s.beats++
 	value := state + ":" + time.Duration(s.beats).String()
@@ -243,7 +244,7 @@
 		down := s.down
 		s.mu.Unlock()
 		if !down {
-			s.heartbeat(targetKey(n%s.targets), "ready")
+			s.heartbeat(targetKey(n % s.targets))
 		}
 	}
 }
--- a/internal/fleet/feed/model_test.go
+++ b/internal/fleet/feed/model_test.go
@@ -141,7 +141,7 @@
 		m.rewrite()
 	case "burst":
 		for n := range 100 {
-			m.store.heartbeat(targetKey(n%modelTargets), "ready")
+			m.store.heartbeat(targetKey(n % modelTargets))
 		}
 	case "return":
 		m.store.setFaults(true, false)
--- a/internal/fleet/feed/return_test.go
+++ b/internal/fleet/feed/return_test.go
@@ -81,6 +81,23 @@
 	}
 }
 
+// TestHeartbeatConfirmsRevivedItem guards against followers that never learn that an item which
+// they took for deleted, and which the copy has again, is being written: it changes nothing but
+// its heartbeat.
+func TestHeartbeatConfirmsRevivedItem(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		s := newStore(returnTargets)
+		s.heartbeat("revived")
+		fl := startFleet(ctx, s, 3)
+		s.drill(3*time.Second, time.Second, func() { s.write("revived", "") })
+		time.Sleep(applyTimeout)
+		s.heartbeat("revived")
+		value := string(s.copyContent().items["revived"].Value)
+		time.Sleep(applyTimeout)
+		assert.Empty(t, fl.lagging("revived", value))
+	})
+}
+
 // TestSecondReturnWithinSeconds has the store come back from a copy twice, the second time
 // before all hosts have read the first era.
 func TestSecondReturnWithinSeconds(t *testing.T) {
