List all items where the changes of the store are too long for one answer

Cause: a watch returns all changes after the known revision. After manifests of 1 MB in quick succession they are longer than the 16 MB that the client reads of an answer; what was left failed to decode, and the next call asked for the same changes and more. It is no outage. A counter and a log line show it.

--- a/internal/fleet/feed/cursor.go
+++ b/internal/fleet/feed/cursor.go
@@ -63,13 +63,14 @@
 	// eraSeenAt.
 	newestEra int64
 	eraSeenAt time.Time
-	// compacted is set while changes are missing that the store has lost.
-	compacted  bool
-	failures   int
-	askedPeer  bool
-	nextCall   time.Time
-	lastReply  time.Time
-	lastOutage time.Time
+	// changesMissed is set while changes are missing that the store has lost, or that are too
+	// long to be read.
+	changesMissed bool
+	failures      int
+	askedPeer     bool
+	nextCall      time.Time
+	lastReply     time.Time
+	lastOutage    time.Time
 	// peerOutage is the time of the last store outage that other hosts reported.
 	peerOutage     time.Time
 	peerBackoffEnd time.Time
@@ -119,7 +120,7 @@
 
 // Reachable reports whether the store answered the last call, of this host or of the reader
 // that it follows.
-func (c *Cursor) Reachable() bool { return c.failures == 0 && c.listed && !c.compacted }
+func (c *Cursor) Reachable() bool { return c.failures == 0 && c.listed && !c.changesMissed }
 
 // Next returns the action that is due now, or None and the time of the next call.
 // hasReader is set if another host reads the store on behalf of this one, hasPeers if an
@@ -144,7 +145,7 @@
 		return List, now
 	case hasReader && c.failures == 0 && now.After(c.peerBackoffEnd):
 		return Fetch, now
-	case c.compacted:
+	case c.changesMissed:
 		return List, now
 	}
 	return Watch, now
@@ -172,7 +173,7 @@
 		c.newestEra = position.Era()
 	}
 	c.advance(position)
-	c.listed, c.compacted = true, false
+	c.listed, c.changesMissed = true, false
 	if c.failures > 0 {
 		c.returnEnd = now.Add(returnPeriod)
 	}
@@ -234,7 +235,7 @@
 	if c.hasReader && age <= maxUpdateAge {
 		// The reader follows the store; what this host sees of the store itself is no
 		// longer of interest.
-		c.failures, c.compacted, c.peerBackoffEnd = 0, false, time.Time{}
+		c.failures, c.changesMissed, c.peerBackoffEnd = 0, false, time.Time{}
 	}
 	if c.failures > 0 {
 		c.currentUpdateAt = time.Time{}
@@ -290,11 +291,17 @@
 	}
 }
 
-// Compacted records that the store has compacted its history, so that the changes after
-// the current revision are lost. They are requested from the reader, or else all items must be
-// listed again. Until then, what is known stays in use.
+// ChangesMissed records that the changes after the current revision cannot be read. They are
+// requested from the reader, or else all items must be listed again. Until then, what is known
+// stays in use.
+func (c *Cursor) ChangesMissed(now time.Time) {
+	c.changesMissed, c.peerBackoffEnd = true, time.Time{}
+	c.nextCall = now
+}
+
+// Compacted records that the store has compacted its history, so that the changes after the
+// current revision are lost.
 func (c *Cursor) Compacted(now time.Time) {
-	c.compacted, c.peerBackoffEnd = true, time.Time{}
+	c.ChangesMissed(now)
 	c.lastOutage = now
-	c.nextCall = now
 }
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -14,6 +14,9 @@
 // ErrCompacted is returned for changes that the store has removed from its history.
 var ErrCompacted = errors.New("requested revision has been compacted")
 
+// ErrTooLong is returned for changes that are too many to be read in one answer.
+var ErrTooLong = errors.New("changes are too long for one answer")
+
 // ErrUnreachable is returned by a Source for a call that did not reach the store.
 var ErrUnreachable = errors.New("store is unreachable")
 
@@ -54,8 +57,9 @@
 	List(ctx context.Context) ([]Item, Position, error)
 	// Watch returns the changes after a revision and the position up to which they are
 	// complete, as soon as there are any; none if there are none during the wait. The
-	// error is ErrCompacted if the changes are no longer available. If the position is not in
-	// the era of the revision, the changes have gaps.
+	// error is ErrCompacted if the changes are no longer available, and ErrTooLong if they
+	// cannot be read in one answer. If the position is not in the era of the revision, the
+	// changes have gaps.
 	Watch(ctx context.Context, after int64, wait time.Duration) ([]Item, Position, error)
 	// Era returns the era of the store as of its last answer to any call, or 0 if it has not
 	// stated one. The store begins a new era when it comes back from a copy.
@@ -179,6 +183,12 @@
 		f.mu.Lock()
 		f.cursor.Compacted(time.Now())
 		f.mu.Unlock()
+	case errors.Is(err, ErrTooLong):
+		f.stats.Add("store-changes-too-long", 1)
+		f.log.Info("store changes too long", "known", after, "error", err)
+		f.mu.Lock()
+		f.cursor.ChangesMissed(time.Now())
+		f.mu.Unlock()
 	case err != nil:
 		f.storeFailed(ctx, "watch", began, err)
 	case position.Era() > after.Era():
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -119,6 +120,37 @@
 	})
 }
 
+// TestFeedListsItemsIfChangesAreTooLong guards against hosts that request the same changes, and
+// more of them, for ever, because those fit into no answer. They are no outage of the store.
+func TestFeedListsItemsIfChangesAreTooLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &store{content: content{items: map[string]feed.Item{}}, maxChanges: 4}
+		s.write("a", "1")
+		f := follow(ctx, s, &peer{})
+		g := follow(ctx, s, &peer{feed: &f.Feed, reader: true})
+		for range 3 {
+			time.Sleep(1100 * time.Millisecond)
+			s.write("b", "1")
+			for n := range 5 {
+				s.write("a", strconv.Itoa(n))
+			}
+			s.write("b", "")
+			time.Sleep(1700 * time.Millisecond)
+			for _, host := range []*follower{f, g} {
+				assert.Equal(t, "4", host.sink.get("a"))
+				assert.Empty(t, host.sink.get("b"))
+				assert.Zero(t, host.sink.lastOutage)
+			}
+			s.write("a", "5")
+			time.Sleep(1700 * time.Millisecond)
+			assert.Equal(t, "5", f.sink.get("a"), "changes that fit are read as before")
+		}
+		assert.Equal(t, 5, s.lists, "each host at its start, and the reader each time")
+	})
+}
+
 func TestHostWithoutStoreStartsFromOtherHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/fleet/feed/store_test.go
+++ b/internal/fleet/feed/store_test.go
@@ -22,9 +22,11 @@
 	targets, beats int
 	down           bool
 	compacted      bool
-	calls          int
-	lists          int
-	listDelay      time.Duration
+	// maxChanges, if not 0, is the number of changes that fit into an answer.
+	maxChanges int
+	calls      int
+	lists      int
+	listDelay  time.Duration
 }
 
 // content is all that a store loses when it comes back from a copy of it.
@@ -139,5 +141,8 @@
 			changed = append(changed, i)
 		}
 	}
+	if s.maxChanges > 0 && len(changed) > s.maxChanges {
+		return nil, feed.Position{}, feed.ErrTooLong
+	}
 	return changed, feed.At(s.era, s.revision), nil
 }
