Take up a changed address of the store, name the settings that need a restart

Cause: the client kept the address with which it was made; a reload dropped the one it read, and changes of all other settings that need a restart, without a word. Change: the client takes the address up for all further calls, changed seeds are probed, and a log line names changed settings that need a restart.

--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -48,7 +48,7 @@
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	settings, store, err := platform.ReadSettings(file)
+	settings, address, err := platform.ReadSettings(file)
 	if err != nil {
 		return err
 	}
@@ -65,21 +65,22 @@
 	}()
 	log := slog.New(slog.NewTextHandler(logWriter, nil))
 	slog.SetDefault(log)
-	s, err := server.Start(settings, platform.NewClient(store), log, &stats.Registry{})
+	client := platform.NewClient(address)
+	s, err := server.Start(settings, client, log, &stats.Registry{})
 	if err != nil {
 		log.Error("not started", "error", err)
 		return err
 	}
-	handleSignals(signals, s, file, log)
+	handleSignals(signals, s, func() { reloadSettings(s, client, file, log) })
 	return nil
 }
 
 // handleSignals reloads the settings on SIGHUP, and stops the host on SIGTERM or SIGINT. Before a
 // stop it reloads them too, since the file may change without a signal. It returns when the host
 // has stopped. A second SIGTERM or SIGINT ends the graceful stop early.
-func handleSignals(signals <-chan os.Signal, s *server.Server, file string, log *slog.Logger) {
+func handleSignals(signals <-chan os.Signal, s *server.Server, reload func()) {
 	for got := range signals {
-		reloadSettings(s, file, log)
+		reload()
 		if got != syscall.SIGHUP {
 			break
 		}
@@ -103,11 +104,14 @@
 }
 
 // reloadSettings applies the settings file. If it cannot be used, the settings stay in force.
-func reloadSettings(s *server.Server, file string, log *slog.Logger) {
-	settings, _, err := platform.ReadSettings(file)
+func reloadSettings(s *server.Server, client *platform.Client, file string, log *slog.Logger) {
+	settings, address, err := platform.ReadSettings(file)
 	if err != nil {
 		log.Error("settings not reloaded", "error", err)
 		return
 	}
+	if client.SetAddress(address) {
+		log.Info("store address changed", "address", address)
+	}
 	s.Reload(settings)
 }
--- a/internal/serving/server/server.go
+++ b/internal/serving/server/server.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -236,9 +237,13 @@
 // Ready reports whether the host can serve callers.
 func (s *Server) Ready() bool { return !s.Stopping() && s.gateway.Ready() }
 
-// Reload applies changed settings that are Reloadable. The others keep the values given to
-// Start.
+// Reload applies changed settings that are Reloadable and probes the seed addresses. The others
+// keep the values given to Start; changes of these are logged.
 func (s *Server) Reload(settings Settings) {
+	if names := s.settings.restartRequired(&settings); len(names) > 0 {
+		s.log.Warn("settings changed that need a restart", "settings", strings.Join(names, ","))
+	}
+	s.peers.ProbeAll(settings.SeedAddresses)
 	s.reloaded.Store(&settings.Reloadable)
 	settings.limitMemory()
 	s.gateway.SetAnswerMemory(settings.answerMemory())
--- a/internal/serving/server/settings.go
+++ b/internal/serving/server/settings.go
@@ -32,6 +32,31 @@
 	Reloadable
 }
 
+// restartRequired returns the names of the settings that differ from those of next and take
+// effect only when the host starts.
+func (s *Settings) restartRequired(next *Settings) []string {
+	var names []string
+	for _, field := range []struct {
+		name    string
+		changed bool
+	}{
+		{"name", s.Name != next.Name},
+		{"data-centre", s.DataCentre != next.DataCentre},
+		{"front-address", s.FrontAddress != next.FrontAddress},
+		{"readiness-address", s.ReadinessAddress != next.ReadinessAddress},
+		{"directory-address", s.DirectoryAddress != next.DirectoryAddress},
+		{"peer-address", s.PeerAddress != next.PeerAddress},
+		{"relay-address", s.RelayAddress != next.RelayAddress},
+		{"metrics-address", s.MetricsAddress != next.MetricsAddress},
+		{"cores", s.Cores != next.Cores},
+	} {
+		if field.changed {
+			names = append(names, field.name)
+		}
+	}
+	return names
+}
+
 // Reloadable holds the settings that take effect when they are reloaded.
 type Reloadable struct {
 	// MemoryBytes is the memory available to the process; 0 sets no limit.
