Count a target that accepts no connection as cold until its report is known

Cause: that a target has started again was taken from its report in the store alone, which is known up to two seconds later; by the last one it was warm. Change: a target at whose address no process listens counts as cold for four seconds from the last refused connection, or until the report of a later start, if its service limits the requests to cold targets. A counter and a log line show it.

--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -33,6 +33,9 @@
 	// ColdUntil is the time at which the target becomes warm; zero if it was warm when it
 	// was last reported.
 	ColdUntil time.Time
+	// presumedColdUntil is the time until which the target counts as cold because it accepted no
+	// connections, or zero.
+	presumedColdUntil time.Time
 	// missing reports that the target's record disappeared from the store during an outage
 	// or soon after it.
 	missing bool
@@ -93,6 +96,7 @@
 	if t.WarmupLeft > 0 {
 		e.ColdUntil = now.Add(t.WarmupLeft)
 	}
+	e.keepPresumption(old)
 	if old != nil && equalIgnoringHeartbeat(old.Target, t) {
 		old.Target = t
 		old.ColdUntil = e.ColdUntil
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -161,6 +161,10 @@
 	Err error
 }
 
+// ConnectionRefused reports whether the target accepted no connection: no process listens at its
+// address.
+func (r *Reply) ConnectionRefused() bool { return r.Reason == reasonConnectRefused }
+
 // Statement is what a target says of itself in an answer. The zero value says nothing.
 type Statement struct {
 	// Incarnation is the one of the target to which the request was sent.
--- a/internal/serving/gateway/relay.go
+++ b/internal/serving/gateway/relay.go
@@ -117,7 +117,7 @@
 	for _, part := range received.Parts {
 		ra.done[part.Index] = true
 		result := attemptResult{attempt: ra.attempts[part.Index], reply: part.Reply, latency: part.Elapsed}
-		r.g.heed(now, result.attempt.Target, part.Reply.Statement)
+		r.g.heed(now, result.attempt.Target, &result.reply)
 		if result.reply.Outcome == search.Good {
 			// The merged records stand for all parts; the first good one carries them.
 			result.reply.Body, records = records, nil
@@ -190,7 +190,7 @@
 	})
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.heed(time.Now(), target, reply.Statement)
+	g.heed(time.Now(), target, &reply)
 	return reply
 }
 
--- a/internal/serving/gateway/serve.go
+++ b/internal/serving/gateway/serve.go
@@ -200,7 +200,7 @@
 	now := time.Now()
 	result := r.replicaResult(reply, now)
 	g.mu.Lock()
-	g.heed(now, t.ID, reply.Statement)
+	g.heed(now, t.ID, &reply)
 	latency := g.tracker.End(now, a.Target, token, result, r.typical)
 	g.mu.Unlock()
 	r.recordResult(now, a, &reply, latency)
--- a/internal/serving/gateway/statements.go
+++ b/internal/serving/gateway/statements.go
@@ -7,10 +7,19 @@
 	"fescuerill/internal/serving/exchange"
 )
 
-// heed applies what a target said of itself in an answer to a request, of this host or
-// relayed by another one. Requests that wait for a target that is leaving or closed go to
-// other targets at once. The gateway is locked.
-func (g *Gateway) heed(now time.Time, id string, s exchange.Statement) {
+// presumedColdTime is the time for which a target that accepted no connection counts as cold: until
+// the next connection is tried, after an ejection of two seconds at most, and until the report of
+// its start is known to all hosts.
+const presumedColdTime = 4 * time.Second
+
+// heed applies what a reply, to a request of this host or relayed by another one, tells of its
+// target: that the target accepts no connections, or what it says of itself. Requests that wait
+// for a target that is leaving or closed go to other targets at once. The gateway is locked.
+func (g *Gateway) heed(now time.Time, id string, reply *exchange.Reply) {
+	if reply.ConnectionRefused() {
+		g.presumeRestart(now, id)
+	}
+	s := reply.Statement
 	if s.Leaving && g.catalog.StateLeaving(now, id, s.Incarnation) {
 		g.stats.Add("targets-said-leaving", 1)
 		g.logStatement(id, "said-leaving")
@@ -29,6 +38,19 @@
 	g.pool.RejectWaiting(id)
 }
 
+// presumeRestart has a target that accepted no connection count as cold for a while, if its
+// service limits the requests to cold targets.
+func (g *Gateway) presumeRestart(now time.Time, id string) {
+	e := g.catalog.Get(id)
+	if e == nil || g.maxColdRate(e.Service) == 0 {
+		return
+	}
+	if g.catalog.PresumeRestart(now, id, now.Add(presumedColdTime)) {
+		g.stats.Add("targets-presumed-cold", 1)
+		g.logStatement(id, "refused-connection")
+	}
+}
+
 // logStatement logs a change of a target that it has told in an answer.
 func (g *Gateway) logStatement(id, change string) {
 	service, dataCentre := "", ""
