--- a/internal/serving/exchange/answer.go
+++ b/internal/serving/exchange/answer.go
@@ -33,6 +33,9 @@
 // maxAnswerBytes, or than maxReceivedBodyBytes as it was sent.
 var errAnswerTooLong = errors.New("answer exceeds the size limit")
 
+// errOtherProtocol is returned for an answer that is not of HTTP/1.
+var errOtherProtocol = errors.New("answer is not of HTTP/1")
+
 // answerReader reads from a connection and fails with errAnswerTooLong after the bytes that
 // are allowed, and with errNoRoom if there is no memory for a head. A target in trouble may
 // send bytes without end.
@@ -83,6 +86,9 @@
 		if err != nil {
 			return Reply{}, err
 		}
+		if r.ProtoMajor != 1 {
+			return Reply{}, errOtherProtocol
+		}
 		if isInterim(r.StatusCode) {
 			continue
 		}
--- a/internal/serving/exchange/pool_test.go
+++ b/internal/serving/exchange/pool_test.go
@@ -135,6 +135,8 @@
 		"no length":                 {"HTTP/1.1 200 OK\r\nId: ID\r\nStamp: s\r\n\r\nbody", search.Unknown, "silent", false},
 		"truncated":                 {"HTTP/1.1 200 OK\r\nId: ID\r\nStamp: s\r\nContent-Length: 9\r\n\r\nbody", search.Unknown, "silent", false},
 		"not HTTP":                  {"garbage\r\n\r\n", search.Unknown, "bad-format", false},
+		"HTTP/0":                    {strings.Replace(goodAnswer, "HTTP/1.1", "HTTP/0.1", 1), search.Unknown, "bad-format", false},
+		"HTTP/2":                    {strings.Replace(goodAnswer, "HTTP/1.1", "HTTP/2.0", 1), search.Unknown, "bad-format", false},
 		"connection closed":         {"", search.Unknown, "connection-broken", false},
 		"connection reset":          {"RST", search.Unknown, "connection-broken", false},
 		"no answer":                 {"...", search.Unknown, "silent", false},
